dsr, dsrhost, platform: the whole path on the platform, thin

Cause: the product had no mode in which upstreams answer callers directly, and no adapter to the users' platform. The bounded ring moved out of package daemon, the line of a decision of hostcore into it, so that a platform host links neither.

--- /dev/null
+++ b/cmd/mimosad-dsr/main.go
@@ -0,0 +1,135 @@
+// Command mimosad-dsr runs a host of mimosashore on the users' platform, where
+// upstreams answer callers directly.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"go.uber.org/zap"
+
+	"mimosashore.example/mimosashore/internal/buildinfo"
+	"mimosashore.example/mimosashore/internal/cmdline"
+	"mimosashore.example/mimosashore/internal/dsrhost"
+	"mimosashore.example/mimosashore/internal/logging"
+	"mimosashore.example/mimosashore/internal/settings"
+	"mimosashore.example/mimosashore/platform"
+)
+
+// The exit codes of the program.
+const (
+	exitFailed      = 1
+	exitBadSettings = 2
+)
+
+// arguments are the command line.
+type arguments struct {
+	Settings string `arg:"--settings" placeholder:"FILE" help:"settings of the host; the platform's variable or default path otherwise"`
+	Check    bool   `arg:"--check" help:"check the settings and exit with 0, or with 2 if they are wrong"`
+	LogLevel string `arg:"--log-level" default:"info" help:"debug, info, warn or error"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "A host of mimosashore on the platform. SIGTERM begins a planned stop, SIGHUP reads the settings again."
+}
+
+// Version is shown by --version.
+func (arguments) Version() string { return buildinfo.Version("mimosad-dsr") }
+
+func main() {
+	var args arguments
+	cmdline.MustParse(&args)
+	path := args.Settings
+	if path == "" {
+		path = platform.SettingsPath()
+	}
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitBadSettings)
+	}
+	if args.Check {
+		return
+	}
+	if err := run(s, path, args.LogLevel); err != nil {
+		fmt.Fprintln(os.Stderr, "mimosad-dsr:", err)
+		os.Exit(exitFailed)
+	}
+}
+
+// run serves until a planned stop has ended or a duty fails.
+func run(s *dsrhost.Settings, path, level string) error {
+	lines := logging.NewBounded(os.Stdout)
+	logger, err := logging.New(settings.Log{Level: level, Format: settings.FormatJSON}, lines)
+	if err != nil {
+		return err
+	}
+	logCtx, endLog := context.WithCancel(context.Background())
+	logged := make(chan struct{})
+	go func() {
+		defer close(logged)
+		lines.Run(logCtx)
+	}()
+	defer func() {
+		endLog()
+		<-logged
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	client := platform.NewStore(s.Store)
+	defer client.Close()
+	host, err := dsrhost.New(ctx, dsrhost.Parts{
+		Settings: s,
+		Layout: dsrhost.Layout{
+			UpstreamPrefix:      platform.UpstreamPrefix,
+			ConfigurationKey:    platform.ConfigurationKey,
+			DecodeUpstream:      platform.DecodeUpstream,
+			DecodeConfiguration: platform.DecodeConfiguration,
+		},
+		Format: platform.PacketFormat{},
+		Store:  client,
+		Logger: logger,
+		Lines:  lines,
+	})
+	if err != nil {
+		return err
+	}
+	go handleSignals(ctx, cancel, host, path, logging.ForPart(logger, "settings"))
+	return host.Run(ctx)
+}
+
+// handleSignals runs a planned stop on the first signal to stop, ends the host
+// at once on the second, and reads the settings again when they changed.
+func handleSignals(ctx context.Context, cancel context.CancelFunc, host *dsrhost.Host, path string, log logging.Part) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	leaving := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-signals:
+			switch {
+			case s == syscall.SIGHUP:
+				if _, err := platform.LoadSettings(path); err != nil {
+					log.Warn("reload refused, the settings of the start stay in force", zap.Error(err))
+				} else {
+					log.Info("reload checked")
+				}
+			case leaving:
+				log.Warn("second signal, the host ends at once")
+				cancel()
+			default:
+				leaving = true
+				go func() {
+					host.Leave(ctx)
+					cancel()
+				}()
+			}
+		}
+	}
+}
--- a/internal/daemon/buffers.go
+++ b/internal/daemon/buffers.go
@@ -24,37 +24,6 @@
 
 func (h *handover) packet() wire.Packet { return h.buffer[:h.size] }
 
-// ring is a bounded queue whose elements are allocated once and used again.
-type ring[T any] struct {
-	free chan *T
-	full chan *T
-}
-
-func newRing[T any](size int) *ring[T] {
-	r := &ring[T]{free: make(chan *T, size), full: make(chan *T, size)}
-	elements := make([]T, size)
-	for i := range elements {
-		r.free <- &elements[i]
-	}
-	return r
-}
-
-// get returns a free element, or nil if the ring is full.
-func (r *ring[T]) get() *T {
-	select {
-	case e := <-r.free:
-		return e
-	default:
-		return nil
-	}
-}
-
-// put queues an element. There is room for each element that get returned.
-func (r *ring[T]) put(e *T) { r.full <- e }
-
-// release makes an element free again.
-func (r *ring[T]) release(e *T) { r.free <- e }
-
 // outgoing is a datagram on its way to the writer.
 type outgoing struct {
 	buffer   [bufferSize]byte
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"mimosashore.example/mimosashore/internal/logging"
 	"mimosashore.example/mimosashore/internal/member"
 	"mimosashore.example/mimosashore/internal/netio"
+	"mimosashore.example/mimosashore/internal/ring"
 	"mimosashore.example/mimosashore/internal/settings"
 	"mimosashore.example/mimosashore/internal/table"
 )
@@ -92,7 +93,7 @@
 		log:         d.log,
 		stats:       d.stats,
 		packets:     newCoreQueue(d.settings.Data.Ring),
-		out:         newRing[outgoing](d.settings.Data.Ring),
+		out:         ring.New[outgoing](d.settings.Data.Ring),
 		tables:      make(chan *table.Table, 1),
 		reports:     make(chan loadReport, reportRing),
 		records:     make(chan hostcore.Record, recordRing),
@@ -193,7 +194,7 @@
 		case <-ctx.Done():
 			return nil
 		case r := <-d.loop.records:
-			logging.Decision(d.logger, &r)
+			logDecision(d.logger, &r)
 		}
 	}
 }
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -12,6 +12,7 @@
 	"mimosashore.example/mimosashore/internal/ids"
 	"mimosashore.example/mimosashore/internal/logging"
 	"mimosashore.example/mimosashore/internal/placement"
+	"mimosashore.example/mimosashore/internal/ring"
 	"mimosashore.example/mimosashore/internal/table"
 	"mimosashore.example/mimosashore/internal/wire"
 )
@@ -57,7 +58,7 @@
 	log     logging.Part
 	stats   *stats
 	packets *coreQueue
-	out     *ring[outgoing]
+	out     *ring.Ring[outgoing]
 	tables  chan *table.Table
 	reports chan loadReport
 	records chan hostcore.Record
@@ -95,11 +96,11 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case h := <-l.packets.rings[config.PriorityUrgent].full:
+		case h := <-l.packets.rings[config.PriorityUrgent].Queued():
 			l.handle(h)
-		case h := <-l.packets.rings[config.PriorityNormal].full:
+		case h := <-l.packets.rings[config.PriorityNormal].Queued():
 			l.handle(h)
-		case h := <-l.packets.rings[config.PriorityBulk].full:
+		case h := <-l.packets.rings[config.PriorityBulk].Queued():
 			l.handle(h)
 		case t := <-l.tables:
 			l.noticePause()
@@ -221,7 +222,7 @@
 
 // send queues a datagram for the writer, or counts it if the ring is full.
 func (l *coreLoop) send(s *hostcore.Send) {
-	o := l.out.get()
+	o := l.out.Get()
 	if o == nil {
 		l.stats.writerOverflow.Inc()
 		return
@@ -235,5 +236,5 @@
 	n += copy(o.buffer[n:], s.Packet)
 	o.datagram.Data = o.buffer[:n]
 	o.datagram.Addr = s.To
-	l.out.put(o)
+	l.out.Put(o)
 }
--- a/internal/daemon/writer.go
+++ b/internal/daemon/writer.go
@@ -4,11 +4,12 @@
 	"context"
 
 	"mimosashore.example/mimosashore/internal/netio"
+	"mimosashore.example/mimosashore/internal/ring"
 )
 
 // coreWriter writes the datagrams of the core.
 type coreWriter struct {
-	in     *ring[outgoing]
+	in     *ring.Ring[outgoing]
 	writer netio.Writer
 	stats  *stats
 	batch  int
@@ -22,7 +23,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case o := <-w.in.full:
+		case o := <-w.in.Queued():
 			w.queue = append(w.queue, o)
 		}
 		w.collect()
@@ -36,7 +37,7 @@
 func (w *coreWriter) collect() {
 	for len(w.queue) < w.batch {
 		select {
-		case o := <-w.in.full:
+		case o := <-w.in.Queued():
 			w.queue = append(w.queue, o)
 		default:
 			return
@@ -53,7 +54,7 @@
 	w.stats.sent.AddInt64(int64(sent))
 	w.stats.sendFailed.AddInt64(int64(len(w.out) - sent))
 	for _, o := range w.queue {
-		w.in.release(o)
+		w.in.Release(o)
 	}
 	w.queue = w.queue[:0]
 	return err
--- /dev/null
+++ b/internal/dsr/core.go
@@ -0,0 +1,345 @@
+package dsr
+
+import (
+	"net/netip"
+	"time"
+
+	"mimosashore.example/mimosashore/internal/directory"
+)
+
+const (
+	// freshFor is how old the last answer of the store may be for a missing
+	// route to count as missing: two waits of a watch.
+	freshFor = 6 * time.Second
+	// refreshInterval is the least time between two requests for a full read.
+	refreshInterval = time.Second
+	// maxUnknown bounds the tokens that wait for a full read.
+	maxUnknown = 1024
+)
+
+// Record is one decision for the log.
+type Record struct {
+	// Event is the short sentence of the log line.
+	Event           string
+	Caller, Address netip.AddrPort
+	Upstream        string
+	To              netip.AddrPort
+	Service         string
+	Token           Token
+	Action          Action
+	Why             string
+	// Revision is the revision of the store that the decision rests on, Version that of the configuration.
+	Revision, Version uint64
+	// Age is the age of what decided it, Until how long it holds.
+	Age, Until time.Duration
+	// Considered and Doubtful count upstreams, Open is the open work of the chosen one.
+	Considered, Doubtful, Open int
+}
+
+// Routine reports whether the record tells of ordinary work, not of a change or a refusal.
+func (r *Record) Routine() bool { return r.Action == Forward }
+
+// Counters count since the start of the core.
+type Counters struct {
+	// Packets counts packets by action and reason.
+	Packets [actionCount][reasonCount]uint64
+	// Unfinished counts handshakes that callers did not complete in time.
+	Unfinished uint64
+}
+
+// route is a route of the configuration in force.
+type route struct {
+	directory.Route
+	total int
+}
+
+// Core decides for one host. It is not safe for concurrent use.
+type Core struct {
+	zone   string
+	format Format
+	cache  flowCache
+
+	byKey    map[string]*upstream
+	tokens   map[Token]*upstream
+	services map[string]*service
+	zones    map[string]*zone
+	// pending holds upstreams whose registration lapsed, goneList those that are gone, both in the order of time.
+	pending, goneList []*upstream
+
+	configured bool
+	version    uint64
+	// configRevision is the revision of the store that wrote the configuration.
+	configRevision uint64
+	routes         map[netip.AddrPort]*route
+
+	// complete is set once a full directory is known.
+	complete bool
+	// heardAt is when the store last answered; storeDown is set while it doesn't.
+	heardAt   time.Duration
+	storeDown bool
+	// settledAt is when what the store says counts again after an outage.
+	settledAt time.Duration
+	// listedAt is when the last full read from the store was sent.
+	listedAt  time.Duration
+	refreshAt time.Duration
+	// unknown holds when a token without upstream was first seen.
+	unknown map[Token]time.Duration
+
+	// turn varies the choice among equals.
+	turn uint32
+
+	Counters Counters
+	records  []Record
+}
+
+// New returns the core of a host in an availability zone.
+func New(zoneName string, format Format) *Core {
+	return &Core{
+		zone:     zoneName,
+		format:   format,
+		cache:    newFlowCache(),
+		byKey:    make(map[string]*upstream),
+		tokens:   make(map[Token]*upstream),
+		services: make(map[string]*service),
+		zones:    make(map[string]*zone),
+		routes:   make(map[netip.AddrPort]*route),
+		unknown:  make(map[Token]time.Duration),
+	}
+}
+
+// Ready reports whether the host can route packets.
+func (c *Core) Ready() bool { return c.configured && c.complete }
+
+// Version returns the version of the configuration in force.
+func (c *Core) Version() uint64 { return c.version }
+
+// Flows returns the number of flows in the cache.
+func (c *Core) Flows() int { return len(c.cache.flows) }
+
+// TakeRecords returns the records since the last call. They are valid until the next call of the core.
+func (c *Core) TakeRecords() []Record {
+	r := c.records
+	c.records = c.records[:0]
+	return r
+}
+
+func (c *Core) note(r Record) { c.records = append(c.records, r) }
+
+// StoreAnswered notes an answer of the store.
+func (c *Core) StoreAnswered(now time.Duration) {
+	c.heardAt = now
+	if c.storeDown {
+		c.storeDown = false
+		c.settledAt = now + removalHold
+		c.note(Record{Event: "store answers again", Until: removalHold})
+	}
+}
+
+// StoreFailed notes a call that the store did not answer.
+func (c *Core) StoreFailed(now time.Duration, why string) {
+	if !c.storeDown {
+		c.storeDown = true
+		c.note(Record{Event: "store does not answer", Why: why, Age: now - c.heardAt})
+	}
+}
+
+func (c *Core) applyConfiguration(now time.Duration, n *directory.Configuration) {
+	if c.configured && uint64(n.Revision) <= c.configRevision {
+		return
+	}
+	c.configured, c.version, c.configRevision = true, n.Version, uint64(n.Revision)
+	old := c.routes
+	c.routes = make(map[netip.AddrPort]*route, len(n.Routes))
+	for i := range n.Routes {
+		r := &route{Route: n.Routes[i]}
+		for _, t := range r.Targets {
+			r.total += t.Weight
+		}
+		c.routes[r.Addr] = r
+	}
+	c.note(Record{Event: "configuration in force", Version: n.Version, Revision: uint64(n.Revision), Considered: len(n.Routes), Doubtful: n.Skipped, Open: len(old), Age: now - c.heardAt})
+}
+
+// Packet decides on one packet of a caller.
+func (c *Core) Packet(now time.Duration, b []byte) (Packet, Effect) {
+	c.advance(now)
+	var p Packet
+	var e Effect
+	if err := c.format.Parse(b, &p); err != nil {
+		e = Effect{Action: Drop, Reason: ReasonMalformed}
+		c.note(Record{Event: "packet dropped", Action: Drop, Why: err.Error()})
+	} else if p.Open {
+		e = c.open(now, &p)
+	} else {
+		e = c.later(now, &p)
+	}
+	c.Counters.Packets[e.Action][e.Reason]++
+	return p, e
+}
+
+// advance does what has become due.
+func (c *Core) advance(now time.Duration) {
+	c.settle(now)
+	for f := c.cache.opening.head; f != nil && now-f.openedAt > handshakeTimeout; f = c.cache.opening.head {
+		c.cache.enter(now, f, phaseOverdue)
+		c.unanswered(now, f)
+	}
+	for f := c.cache.busy.head; f != nil && now-f.busyAt > busyLimit; f = c.cache.busy.head {
+		c.cache.enter(now, f, phaseIdle)
+	}
+	c.cache.expire(now)
+}
+
+// open decides on the first packet of a flow or a copy of it.
+func (c *Core) open(now time.Duration, p *Packet) Effect {
+	if !c.configured || !c.complete {
+		return Effect{Action: Drop, Reason: ReasonNoConfiguration}
+	}
+	r := c.routes[p.Service]
+	if r == nil {
+		return c.noRoute(now, p)
+	}
+	key := flowKey{p.Caller, p.Service}
+	f := c.cache.flows[key]
+	if f != nil && p.Copy == 0 && f.phase != phaseOpening && f.phase != phaseOverdue {
+		c.cache.drop(f)
+		f = nil
+	}
+	reason := ReasonPlaced
+	if f != nil {
+		if u := f.upstream; u.usable() && !u.doubtful(now) || f.phase == phaseOpening || u.lifeAt > f.openedAt {
+			return c.forward(u, ReasonCopy)
+		}
+		reason = ReasonMoved
+	}
+	choice := c.choose(now, r, p)
+	if choice.upstream == nil {
+		c.noteOpening("flow not opened", now, p, r, choice, choice.reason)
+		return Effect{Action: Drop, Reason: choice.reason}
+	}
+	if f == nil {
+		f = c.cache.add(now, key)
+	} else {
+		c.cache.enter(now, f, phaseClosed)
+	}
+	f.upstream, f.route = choice.upstream, r
+	f.end, f.answered = p.Seq+1, 0
+	c.cache.touch(now, f)
+	c.cache.enter(now, f, phaseOpening)
+	c.noteOpening("flow opened", now, p, r, choice, reason)
+	return c.forward(choice.upstream, reason)
+}
+
+func (c *Core) noteOpening(event string, now time.Duration, p *Packet, r *route, ch choice, why Reason) {
+	rec := Record{
+		Event: event, Caller: p.Caller, Address: p.Service, Service: ch.service, Why: reasonNames[why], Version: c.version,
+		Age: now - c.heardAt, Considered: ch.considered, Doubtful: ch.doubtful,
+	}
+	if u := ch.upstream; u != nil {
+		rec.Upstream, rec.Token, rec.Revision, rec.To = u.Key, u.token, uint64(u.Revision), u.Addr
+		rec.Open, rec.Action = u.busy+u.opening, Forward
+	}
+	c.note(rec)
+}
+
+func (c *Core) forward(u *upstream, why Reason) Effect {
+	return Effect{Action: Forward, Reason: why, To: u.Addr, ID: u.ID, Token: u.token}
+}
+
+// noRoute decides on a packet to an address without a route. A reset needs a
+// configuration that can't have been replaced unnoticed.
+func (c *Core) noRoute(now time.Duration, p *Packet) Effect {
+	if c.storeDown || now-c.heardAt > freshFor {
+		return Effect{Action: Drop, Reason: ReasonStaleConfiguration}
+	}
+	c.noteReset(now, p, nil, ReasonNoRoute)
+	return Effect{Action: Reset, Reason: ReasonNoRoute}
+}
+
+func (c *Core) noteReset(now time.Duration, p *Packet, u *upstream, why Reason) {
+	rec := Record{
+		Event: "flow reset", Caller: p.Caller, Address: p.Service, Token: p.Token, Action: Reset, Why: reasonNames[why],
+		Version: c.version, Age: now - c.heardAt,
+	}
+	if u != nil {
+		rec.Upstream, rec.Service, rec.Revision = u.Key, u.Service, uint64(u.Revision)
+		rec.Age = now - u.lifeAt
+	}
+	c.note(rec)
+}
+
+// later decides on a packet after the first.
+func (c *Core) later(now time.Duration, p *Packet) Effect {
+	if p.Token == 0 {
+		return Effect{Action: Drop, Reason: ReasonNoToken}
+	}
+	key := flowKey{p.Caller, p.Service}
+	f := c.cache.flows[key]
+	u := c.tokens[p.Token]
+	if u == nil {
+		return c.unknownToken(now, p)
+	}
+	if u.gone && !c.livesOn(now, u) {
+		if f != nil {
+			c.cache.drop(f)
+		}
+		c.noteReset(now, p, u, ReasonUpstreamGone)
+		return Effect{Action: Reset, Reason: ReasonUpstreamGone}
+	}
+	if c.configured && c.routes[p.Service] == nil {
+		if f != nil {
+			c.cache.drop(f)
+		}
+		return c.noRoute(now, p)
+	}
+	if f == nil {
+		f = c.cache.add(now, key)
+		f.upstream, f.phase = u, phaseClosed
+		f.end, f.answered, f.taken = p.Seq, p.Ack, p.Seq
+		c.cache.enter(now, f, phaseIdle)
+	}
+	if f.upstream != u {
+		c.cache.enter(now, f, phaseClosed)
+		f.upstream = u
+		c.cache.enter(now, f, phaseIdle)
+	}
+	f.route = c.routes[p.Service]
+	c.cache.touch(now, f)
+	c.observe(now, f, p)
+	if c.silent(now, f) {
+		c.cache.drop(f)
+		c.noteReset(now, p, u, ReasonUpstreamSilent)
+		return Effect{Action: Reset, Reason: ReasonUpstreamSilent}
+	}
+	return c.forward(u, ReasonRouted)
+}
+
+// livesOn reports whether an upstream without a registration still answers
+// callers, as one does that lost touch with the store only.
+func (c *Core) livesOn(now time.Duration, u *upstream) bool {
+	return u.lifeAt != 0 && now-u.lifeAt < lifeKeep && c.byKey[u.Key] == nil
+}
+
+// unknownToken drops the packet until a full read that was sent after the
+// first sight of the token doesn't know it either.
+func (c *Core) unknownToken(now time.Duration, p *Packet) Effect {
+	first, seen := c.unknown[p.Token]
+	if !seen {
+		if len(c.unknown) >= maxUnknown {
+			clear(c.unknown)
+		}
+		c.unknown[p.Token] = now
+		first = now
+	}
+	if first < c.listedAt && !c.storeDown && now >= c.settledAt && c.complete {
+		c.noteReset(now, p, nil, ReasonUnknownToken)
+		return Effect{Action: Reset, Reason: ReasonUnknownToken}
+	}
+	e := Effect{Action: Drop, Reason: ReasonUnknownToken}
+	if now >= c.refreshAt {
+		c.refreshAt = now + refreshInterval
+		e.Refresh = true
+		c.note(Record{Event: "token is unknown, reading the directory", Caller: p.Caller, Address: p.Service, Token: p.Token, Age: now - c.heardAt})
+	}
+	return e
+}
--- /dev/null
+++ b/internal/dsr/observe.go
@@ -0,0 +1,92 @@
+package dsr
+
+import "time"
+
+const (
+	// busyLimit is when a request no longer counts as work under way: callers
+	// acknowledge every second packet, so a short answer may go unseen.
+	busyLimit = 500 * time.Millisecond
+	// silentFor is how long an upstream must have shown no life before an
+	// idempotent request is handed back: repeats come after 200 and 400 ms.
+	silentFor = 550 * time.Millisecond
+	// silentRepeats is the number of repeats that this takes.
+	silentRepeats = 2
+)
+
+// observe learns from a packet after the first.
+func (c *Core) observe(now time.Duration, f *flow, p *Packet) {
+	u := f.upstream
+	switch f.phase {
+	case phaseOpening, phaseOverdue:
+		// The caller has the upstream's answer.
+		f.answered, f.taken = p.Ack, p.Seq
+		c.alive(now, u)
+		f.progressAt, f.repeats = now, 0
+		c.cache.enter(now, f, phaseIdle)
+	}
+	if p.Reset {
+		c.cache.enter(now, f, phaseClosed)
+		return
+	}
+	if p.HasAck && int32(p.Ack-f.answered) > 0 {
+		f.answered = p.Ack
+		f.progressAt, f.repeats = now, 0
+		c.alive(now, u)
+		if f.phase == phaseBusy {
+			c.sample(now, u, now-f.busyAt)
+			c.cache.enter(now, f, phaseIdle)
+		}
+	}
+	end := p.Seq + uint32(p.Length)
+	if p.Length > 0 {
+		c.observeData(now, f, end)
+	}
+	if p.Fin && f.phase != phaseClosed {
+		c.cache.enter(now, f, phaseClosed)
+	}
+}
+
+// observeData learns from a packet with data up to the given sequence number.
+func (c *Core) observeData(now time.Duration, f *flow, end uint32) {
+	if int32(end-f.end) <= 0 {
+		f.repeats++
+		return
+	}
+	f.end = end
+	if f.phase == phaseIdle {
+		c.cache.enter(now, f, phaseBusy)
+		f.progressAt, f.repeats = now, 0
+	}
+	// The caller sends beyond its window only after an acknowledgement.
+	if int32(end-f.taken) > windowBytes {
+		f.taken = end - windowBytes
+		f.progressAt, f.repeats = now, 0
+		c.alive(now, f.upstream)
+	}
+}
+
+// sample notes the time from a request to its answer.
+func (c *Core) sample(now time.Duration, u *upstream, d time.Duration) {
+	seconds := d.Seconds()
+	u.latency = mean(u.latency, seconds)
+	u.latencyAt = now
+	if s := c.services[u.Service]; s != nil {
+		// The mean of a service covers more samples than that of one upstream.
+		s.latency = mean(s.latency, seconds)
+	}
+}
+
+func mean(old, sample float64) float64 {
+	if old == 0 {
+		return sample
+	}
+	return old + latencyWeight*(sample-old)
+}
+
+// silent reports whether the flow's request is better repeated elsewhere: it
+// may be, and nothing came back from the upstream on any flow since it began.
+func (c *Core) silent(now time.Duration, f *flow) bool {
+	u := f.upstream
+	return f.route != nil && f.route.Idempotent && f.phase != phaseClosed && f.repeats >= silentRepeats &&
+		now-f.progressAt >= silentFor && now-u.lifeAt >= silentFor && u.lifeAt <= f.progressAt
+}
--- /dev/null
+++ b/internal/dsrhost/decide.go
@@ -0,0 +1,177 @@
+package dsrhost
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mimosashore.example/mimosashore/internal/dsr"
+	"mimosashore.example/mimosashore/internal/logging"
+	"mimosashore.example/mimosashore/internal/netio"
+)
+
+// stateInterval is how often the state for operators is taken from the core.
+const stateInterval = time.Second
+
+// State is what operators see of a host.
+type State struct {
+	Ready   bool
+	Version uint64
+	Flows   int
+}
+
+// decider is the goroutine that owns the core.
+type decider struct {
+	host   *Host
+	core   *dsr.Core
+	writer netio.Writer
+	out    []netio.Datagram
+	reset  []byte
+	log    recordLog
+}
+
+// decide runs the core until the context ends.
+func (h *Host) decide(ctx context.Context) {
+	writer, err := h.sockets.Writer(0)
+	if err != nil {
+		h.log.Error("packets can't be written", zap.Error(err))
+		return
+	}
+	d := &decider{
+		host: h, core: dsr.New(h.settings.Zone, h.parts.Format), writer: writer,
+		out: make([]netio.Datagram, 1), log: newRecordLog(h.parts.Logger, h.parts.Lines),
+	}
+	ticker := time.NewTicker(stateInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case p := <-h.packets.Queued():
+			d.packet(p)
+			h.packets.Release(p)
+		case e := <-h.feed:
+			d.feed(e)
+		case <-ticker.C:
+			d.publish()
+		}
+		d.log.write(d.core.TakeRecords())
+	}
+}
+
+// packet decides on a packet and sends what results.
+func (d *decider) packet(p *packet) {
+	format := d.host.parts.Format
+	space := format.Overhead()
+	body := p.buffer[space : space+p.size]
+	head, e := d.core.Packet(d.host.since(), body)
+	d.host.stats.packet(e)
+	if e.Refresh {
+		select {
+		case d.host.again <- struct{}{}:
+		default:
+		}
+	}
+	switch e.Action {
+	case dsr.Forward:
+		format.SetToken(body, e.Token)
+		format.PutTarget(p.buffer[:space], e.ID)
+		d.send(p.buffer[:space+p.size], e.To)
+	case dsr.Reset:
+		d.reset = format.AppendReset(d.reset[:0], &head)
+		// Packets to callers go to the fabric's port for packets.
+		d.send(d.reset, netip.AddrPortFrom(head.Caller.Addr(), d.host.settings.Data.Port()))
+	}
+}
+
+func (d *decider) send(b []byte, to netip.AddrPort) {
+	d.out[0] = netio.Datagram{Data: b, Addr: to}
+	sent, err := d.writer.Write(d.out)
+	if err != nil || sent == 0 {
+		d.host.stats.sendFailed.Inc()
+	}
+}
+
+// feed takes an event of the store's reader.
+func (d *decider) feed(e feedEvent) {
+	now := d.host.since()
+	switch e.kind {
+	case feedFailed:
+		d.core.StoreFailed(now, e.why)
+	case feedAnswered:
+		d.core.StoreAnswered(now)
+	case feedChange:
+		d.core.StoreAnswered(now)
+		d.core.Apply(now, e.change)
+		d.publish()
+	}
+}
+
+// publish shows the state of the core to the other goroutines.
+func (d *decider) publish() {
+	s := &State{Ready: d.core.Ready(), Version: d.core.Version(), Flows: d.core.Flows()}
+	d.host.state.Store(s)
+	d.host.ready.set(s.Ready)
+}
+
+// recordLog writes records of the core.
+type recordLog struct {
+	logger *zap.Logger
+	lines  *logging.Bounded
+}
+
+func newRecordLog(logger *zap.Logger, lines *logging.Bounded) recordLog {
+	return recordLog{logger, lines}
+}
+
+// write writes a line for each record.
+func (l recordLog) write(records []dsr.Record) {
+	for i := range records {
+		r := &records[i]
+		if r.Routine() && !l.lines.AllowRoutine() {
+			continue
+		}
+		l.logger.Info("core: "+r.Event, recordFields(r)...)
+	}
+}
+
+// recordFields returns the fields that the record has.
+func recordFields(r *dsr.Record) []zap.Field {
+	fields := make([]zap.Field, 0, 16)
+	addr := func(name string, a netip.AddrPort) {
+		if a.IsValid() {
+			fields = append(fields, zap.String(name, a.String()))
+		}
+	}
+	text := func(name, value string) {
+		if value != "" {
+			fields = append(fields, zap.String(name, value))
+		}
+	}
+	number := func(name string, value uint64) {
+		if value != 0 {
+			fields = append(fields, zap.Uint64(name, value))
+		}
+	}
+	addr("caller", r.Caller)
+	addr("address", r.Address)
+	text("service", r.Service)
+	text("upstream", r.Upstream)
+	addr("to", r.To)
+	number("token", uint64(r.Token))
+	text("why", r.Why)
+	number("revision", r.Revision)
+	number("version", r.Version)
+	number("considered", uint64(r.Considered))
+	number("doubtful", uint64(r.Doubtful))
+	number("open", uint64(r.Open))
+	if r.Age != 0 {
+		fields = append(fields, zap.Int64("age_ms", r.Age.Milliseconds()))
+	}
+	if r.Until != 0 {
+		fields = append(fields, zap.Int64("for_ms", r.Until.Milliseconds()))
+	}
+	return fields
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"mimosashore.example/mimosashore/internal/hostcore"
 	"mimosashore.example/mimosashore/internal/settings"
 )
 
@@ -63,21 +62,3 @@
 func (p Part) Error(sentence string, fields ...zap.Field) {
 	p.logger.Error(p.prefix+sentence, fields...)
 }
-
-// Decision writes the line of one routing or placement decision. The event
-// names its part already.
-func Decision(logger *zap.Logger, r *hostcore.Record) {
-	entry := logger.Check(zapcore.InfoLevel, r.Event)
-	if entry == nil {
-		return
-	}
-	entry.Write(
-		zap.Uint32("account", uint32(r.Account)),
-		zap.Uint32("service", uint32(r.Service)),
-		zap.Uint32("upstream", uint32(r.Upstream)),
-		zap.Uint64("nonce", uint64(r.Nonce)),
-		zap.Uint64("request", uint64(r.Request)),
-		zap.String("why", r.Why),
-		zap.Int("considered", r.Considered),
-	)
-}
