dsr: no reset for a silent upstream while the host's own link is the likelier cause

Ruled out: dead upstreams (all of the host's zone were late at the same time), a stale directory (version and revision were current). Change: completed and late handshakes with upstreams of the host's own zone are weighed; while late ones are over a fifth, or none was completed of late, neither resets for silence nor doubt of a whole zone.

--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -63,6 +63,7 @@
 	tokens   map[Token]*upstream
 	services map[string]*service
 	zones    map[string]*zone
+	strain   strain
 	// pending holds upstreams whose registration lapsed, goneList those that are gone, both in the order of time.
 	pending, goneList []*upstream
 
--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -19,6 +19,9 @@
 	switch f.phase {
 	case phaseOpening, phaseOverdue:
 		// The caller has the upstream's answer.
+		if u.Zone == c.zone && f.phase == phaseOpening {
+			c.strain.completed.add(now)
+		}
 		f.answered, f.taken = p.Ack, p.Seq
 		c.alive(now, u)
 		f.progressAt, f.repeats = now, 0
@@ -84,9 +87,10 @@
 }
 
 // silent reports whether the flow's request is better repeated elsewhere: it
-// may be, and nothing came back from the upstream on any flow since it began.
+// may be, and nothing came back from the upstream on any flow since it began,
+// while others answer this host.
 func (c *Core) silent(now time.Duration, f *flow) bool {
 	u := f.upstream
 	return f.route != nil && f.route.Idempotent && f.phase != phaseClosed && f.repeats >= silentRepeats &&
-		now-f.progressAt >= silentFor && now-u.lifeAt >= silentFor && u.lifeAt <= f.progressAt
+		now-f.progressAt >= silentFor && now-u.lifeAt >= silentFor && u.lifeAt <= f.progressAt && !c.strain.high(now)
 }
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -309,13 +309,16 @@
 func (c *Core) unanswered(now time.Duration, f *flow) {
 	u := f.upstream
 	c.Counters.Unfinished++
+	if u.Zone == c.zone {
+		c.strain.late.add(now)
+	}
 	if u.lifeAt > f.openedAt || now < u.doubt.until {
 		return
 	}
 	u.doubt.raise(now)
 	c.note(Record{Event: "upstream does not answer", Caller: f.key.caller, Upstream: u.Key, Service: u.Service, Why: "handshake not completed", Age: now - u.lifeAt, Until: u.doubt.until - now})
 	z := u.zone
-	if z.lifeAt > f.openedAt || now < z.doubt.until {
+	if z.lifeAt > f.openedAt || now < z.doubt.until || c.strain.high(now) {
 		return
 	}
 	if z.suspect == nil {
