dsr: a window of open work for each upstream that follows latency

Ruled out: the start of hosts (ready 0.1 s after their start), the store (answered at once). Change: the window starts at the slots, grows by one in a round, shrinks when answers take over 0.6 of the latency that callers want. Copies of opening packets get half of it, since their requests are late already; urgent routes one more. The own zone comes first by one request.

--- a/internal/dsr/choose.go
+++ b/internal/dsr/choose.go
@@ -17,11 +17,9 @@
 	// requests: callers of long flows send about one request of 30 ms a second.
 	flowLoad = 0.05
 	// otherZoneLoad is the load, in requests, by which an upstream of the host's own zone may be busier.
-	otherZoneLoad = 0.3
+	otherZoneLoad = 1.0
 	// doubtLoad is the load that puts a doubtful upstream behind all others.
 	doubtLoad = 1e6
-	// workPerSlot is the open work for each slot at which a host sends no more flows to an upstream.
-	workPerSlot = 3
 )
 
 // choice is the result of choosing an upstream.
@@ -56,7 +54,7 @@
 		if doubtful {
 			ch.doubtful++
 		}
-		if u.busy+u.opening >= workPerSlot*u.Slots {
+		if !u.window.admits(u.busy+u.opening, p, r.Priority < s.lowest) {
 			if !doubtful {
 				full++
 			}
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -151,10 +151,14 @@
 	c.configured, c.version, c.configRevision = true, n.Version, uint64(n.Revision)
 	old := c.routes
 	c.routes = make(map[netip.AddrPort]*route, len(n.Routes))
+	for _, s := range c.services {
+		s.objective, s.lowest = 0, 0
+	}
 	for i := range n.Routes {
 		r := &route{Route: n.Routes[i]}
 		for _, t := range r.Targets {
 			r.total += t.Weight
+			c.serviceOf(t.Service).require(r)
 		}
 		c.routes[r.Addr] = r
 	}
--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -76,6 +76,7 @@
 	if s := c.services[u.Service]; s != nil {
 		// The mean of a service covers more samples than that of one upstream.
 		s.latency = mean(s.latency, seconds)
+		u.window.sample(now, d, s.objective)
 	}
 }
 
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -49,6 +49,7 @@
 	// latency is the mean time from request to answer, in seconds; zero is unknown.
 	latency   float64
 	latencyAt time.Duration
+	window    window
 }
 
 // doubt is the suspicion that something doesn't answer.
@@ -80,6 +81,9 @@
 type service struct {
 	upstreams []*upstream
 	latency   float64
+	// objective is the shortest latency that callers of its routes want, lowest the priority of its least urgent route.
+	objective time.Duration
+	lowest    int
 }
 
 // usable reports whether new flows may go to the upstream at all.
@@ -210,7 +214,7 @@
 	if u != nil {
 		c.setGone(now, u, "restarted")
 	}
-	n := &upstream{Upstream: *d, token: TokenOf(d.ID, d.Incarnation), zone: c.zoneOf(d.Zone)}
+	n := &upstream{Upstream: *d, token: TokenOf(d.ID, d.Incarnation), zone: c.zoneOf(d.Zone), window: newWindow(d.Slots)}
 	if d.SlowFor > 0 {
 		n.coldUntil = now + d.SlowFor
 	}
@@ -227,6 +231,15 @@
 	return z
 }
 
+func (c *Core) serviceOf(name string) *service {
+	s := c.services[name]
+	if s == nil {
+		s = &service{}
+		c.services[name] = s
+	}
+	return s
+}
+
 // index builds the maps by service and token anew.
 func (c *Core) index() {
 	for _, s := range c.services {
@@ -258,11 +271,7 @@
 		} else {
 			c.tokens[u.token] = u
 		}
-		s := c.services[u.Service]
-		if s == nil {
-			s = &service{}
-			c.services[u.Service] = s
-		}
+		s := c.serviceOf(u.Service)
 		s.upstreams = append(s.upstreams, u)
 	}
 }
