dsr: windows below one request, for upstreams that many hosts share

Cause: with nine hosts a window of one each still lets nine requests into an upstream of two slots: answers took 145 ms in the wave after power_off_all.

--- a/internal/dsr/choose.go
+++ b/internal/dsr/choose.go
@@ -54,7 +54,7 @@
 		if doubtful {
 			ch.doubtful++
 		}
-		if !u.window.admits(u.busy+u.opening, p, r.Priority < s.lowest) {
+		if !u.window.admits(now, u.busy+u.opening, p, r.Priority < s.lowest) {
 			if !doubtful {
 				full++
 			}
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -228,6 +228,7 @@
 		c.cache.enter(now, f, phaseClosed)
 	}
 	f.upstream, f.route = choice.upstream, r
+	f.upstream.window.usedAt = now
 	f.end, f.answered = p.Seq+1, 0
 	c.cache.touch(now, f)
 	c.cache.enter(now, f, phaseOpening)
--- a/internal/dsr/window_test.go
+++ b/internal/dsr/window_test.go
@@ -28,22 +28,26 @@
 }
 
 func TestWindowAdmits(t *testing.T) {
-	w := window{size: 4, most: 10}
+	const now = time.Second
 	for _, c := range []struct {
 		name   string
+		window window
 		open   int
 		packet Packet
 		urgent bool
 		want   bool
 	}{
-		{"first packet below the window", 3, Packet{}, false, true},
-		{"first packet at the window", 4, Packet{}, false, false},
-		{"urgent route at the window", 4, Packet{}, true, true},
-		{"copy below half of the window", 1, Packet{Copy: 1}, false, true},
-		{"copy above half of the window", 2, Packet{Copy: 1}, false, false},
-		{"urgent copy above half of the window", 2, Packet{Copy: 2}, true, true},
+		{"first packet below the window", window{size: 4}, 3, Packet{}, false, true},
+		{"first packet at the window", window{size: 4}, 4, Packet{}, false, false},
+		{"urgent route at the window", window{size: 4}, 4, Packet{}, true, true},
+		{"copy below half of the window", window{size: 4}, 1, Packet{Copy: 1}, false, true},
+		{"copy above half of the window", window{size: 4}, 2, Packet{Copy: 1}, false, false},
+		{"urgent copy above half of the window", window{size: 4}, 2, Packet{Copy: 2}, true, true},
+		{"half a request, the pause is over", window{size: 0.5, usedAt: now - 80*time.Millisecond, latency: 40 * time.Millisecond}, 0, Packet{}, false, true},
+		{"half a request, the pause goes on", window{size: 0.5, usedAt: now - 79*time.Millisecond, latency: 40 * time.Millisecond}, 0, Packet{}, false, false},
+		{"half a request, one is open", window{size: 0.5, latency: 40 * time.Millisecond}, 1, Packet{}, false, false},
 	} {
-		require.Equal(t, c.want, w.admits(c.open, &c.packet, c.urgent), c.name)
+		require.Equal(t, c.want, c.window.admits(now, c.open, &c.packet, c.urgent), c.name)
 	}
 }
 
