dsr: an answer clears doubt only if its packet went after the one without an answer

Ruled out: a one-way cut (handshakes failed again at once), flows through other hosts (the acknowledging flows were this host's). Change: signs of life carry the time of the packet that they answer; doubt ends only for a packet sent after the failed one. Silence is measured by the same time, also for flows whose request began before the last old answer. Test: TestLateAnswersDoNotClearDoubt failed first.

--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -212,7 +212,7 @@
 	}
 	reason := ReasonPlaced
 	if f != nil {
-		if u := f.upstream; u.usable() && !u.doubtful(now) || f.phase == phaseOpening || u.lifeAt > f.openedAt {
+		if u := f.upstream; u.usable() && !u.doubtful(now) || f.phase == phaseOpening || u.reachedAt > f.openedAt {
 			return c.forward(u, ReasonCopy)
 		}
 		reason = ReasonMoved
--- a/internal/dsr/core_test.go
+++ b/internal/dsr/core_test.go
@@ -261,3 +261,28 @@
 		require.Equal(t, Forward, c.repeat().Action, "%v after the last packet", pause*time.Millisecond)
 	}
 }
+
+// Upstreams answer callers directly. In a cut between this host and an
+// availability zone, an old answer that a caller acknowledges late shows that the
+// upstream lives, not that packets of this host reach it.
+func TestLateAnswersDoNotClearDoubt(t *testing.T) {
+	f := newFixture(t)
+	c := f.opened(streamPort)
+	u := f.upstream(c)
+	c.request()
+	f.wait(100 * time.Millisecond)
+	var failing *caller
+	for failing == nil {
+		n := f.caller(orderPort)
+		if n.open(); n.last.Action == Forward && f.upstream(n) == u {
+			failing = n
+		}
+	}
+	f.wait(handshakeTimeout + time.Millisecond)
+	f.caller(orderPort).open()
+	require.True(t, u.doubtful(f.now))
+	c.answered()
+	require.True(t, u.doubtful(f.now), "the request went before the handshake that failed")
+	failing.confirm()
+	require.False(t, u.doubtful(f.now))
+}
--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -23,7 +23,7 @@
 			c.strain.completed.add(now)
 		}
 		f.answered, f.taken = p.Ack, p.Seq
-		c.alive(now, u)
+		c.alive(now, f.openedAt, u)
 		f.progressAt, f.repeats = now, 0
 		c.cache.enter(now, f, phaseIdle)
 	}
@@ -33,8 +33,8 @@
 	}
 	if p.HasAck && int32(p.Ack-f.answered) > 0 {
 		f.answered = p.Ack
+		c.alive(now, f.progressAt, u)
 		f.progressAt, f.repeats = now, 0
-		c.alive(now, u)
 		if f.phase == phaseBusy {
 			c.sample(now, u, now-f.busyAt)
 			c.cache.enter(now, f, phaseIdle)
@@ -63,8 +63,8 @@
 	// The caller sends beyond its window only after an acknowledgement.
 	if int32(end-f.taken) > windowBytes {
 		f.taken = end - windowBytes
+		c.alive(now, f.progressAt, f.upstream)
 		f.progressAt, f.repeats = now, 0
-		c.alive(now, f.upstream)
 	}
 }
 
@@ -93,5 +93,5 @@
 func (c *Core) silent(now time.Duration, f *flow) bool {
 	u := f.upstream
 	return f.route != nil && f.route.Idempotent && f.phase != phaseClosed && f.repeats >= silentRepeats &&
-		now-f.progressAt >= silentFor && now-u.lifeAt >= silentFor && u.lifeAt <= f.progressAt && !c.strain.high(now)
+		now-f.progressAt >= silentFor && now-u.reachedAt >= silentFor && !c.strain.high(now)
 }
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -43,9 +43,9 @@
 	coldUntil time.Duration
 
 	opening, busy, flows int
-	// lifeAt is the last sign of life.
-	lifeAt time.Duration
-	doubt  doubt
+	// lifeAt is the last sign of life, reachedAt when the last packet was sent that the upstream answered.
+	lifeAt, reachedAt time.Duration
+	doubt             doubt
 	// latency is the mean time from request to answer, in seconds; zero is unknown.
 	latency   float64
 	latencyAt time.Duration
@@ -56,23 +56,34 @@
 type doubt struct {
 	// until is the end of the avoidance, step the wait after the next failure; zero is no doubt.
 	until, step time.Duration
+	// since is when the packet was sent that got no answer.
+	since time.Duration
 }
 
-// raise extends the avoidance after a failure.
-func (d *doubt) raise(now time.Duration) {
+// raise extends the avoidance after a packet that got no answer.
+func (d *doubt) raise(now, sent time.Duration) {
 	d.step = min(max(2*d.step, doubtMin), doubtMax)
 	d.until = now + d.step
+	d.since = sent
 }
 
-func (d *doubt) clear() { *d = doubt{} }
+// clear ends the doubt if the answered packet was sent no earlier than the one
+// without an answer, and reports whether it did.
+func (d *doubt) clear(sent time.Duration) bool {
+	if d.step == 0 || sent < d.since {
+		return false
+	}
+	*d = doubt{}
+	return true
+}
 
 // zone is an availability zone as seen by its upstreams.
 type zone struct {
 	name    string
 	opening int
 	doubt   doubt
-	// lifeAt is the last sign of life of any of its upstreams.
-	lifeAt time.Duration
+	// reachedAt is when the last packet was sent that any of its upstreams answered.
+	reachedAt time.Duration
 	// suspect is the upstream whose handshake failed since then.
 	suspect *upstream
 }
@@ -299,16 +310,18 @@
 	}
 }
 
-// alive notes a sign of life.
-func (c *Core) alive(now time.Duration, u *upstream) {
-	u.lifeAt, u.zone.lifeAt = now, now
-	u.zone.suspect = nil
-	if u.zone.doubt.step != 0 {
-		u.zone.doubt.clear()
-		c.note(Record{Event: "availability zone answers again", Why: u.zone.name})
-	}
-	if u.doubt.step != 0 {
-		u.doubt.clear()
+// alive notes the answer to a packet that this host sent at the given time.
+// Answers go to callers directly: one to an older packet doesn't show that
+// packets of this host still arrive.
+func (c *Core) alive(now, sent time.Duration, u *upstream) {
+	u.lifeAt, u.reachedAt = now, max(u.reachedAt, sent)
+	z := u.zone
+	z.reachedAt = max(z.reachedAt, sent)
+	z.suspect = nil
+	if z.doubt.clear(sent) {
+		c.note(Record{Event: "availability zone answers again", Why: z.name})
+	}
+	if u.doubt.clear(sent) {
 		c.note(Record{Event: "upstream answers again", Upstream: u.Key, Service: u.Service})
 	}
 }
@@ -321,13 +334,13 @@
 	if u.Zone == c.zone {
 		c.strain.late.add(now)
 	}
-	if u.lifeAt > f.openedAt || now < u.doubt.until {
+	if u.reachedAt > f.openedAt || now < u.doubt.until {
 		return
 	}
-	u.doubt.raise(now)
+	u.doubt.raise(now, f.openedAt)
 	c.note(Record{Event: "upstream does not answer", Caller: f.key.caller, Upstream: u.Key, Service: u.Service, Why: "handshake not completed", Age: now - u.lifeAt, Until: u.doubt.until - now})
 	z := u.zone
-	if z.lifeAt > f.openedAt || now < z.doubt.until || c.strain.high(now) {
+	if z.reachedAt > f.openedAt || now < z.doubt.until || c.strain.high(now) {
 		return
 	}
 	if z.suspect == nil {
@@ -335,7 +348,7 @@
 		return
 	}
 	if z.suspect != u {
-		z.doubt.raise(now)
-		c.note(Record{Event: "availability zone does not answer", Why: z.name, Age: now - z.lifeAt, Until: z.doubt.until - now})
+		z.doubt.raise(now, f.openedAt)
+		c.note(Record{Event: "availability zone does not answer", Why: z.name, Age: now - z.reachedAt, Until: z.doubt.until - now})
 	}
 }
