dsr: other idempotent requests leave a silent upstream at once; metrics and state of a platform host

Change: the verdict of one flow holds for all idempotent requests until the upstream answers. The host serves /metrics and /state on the port of the deploy file. Tests: TestSilentUpstreamIsLeftAtOnceByOtherFlows failed first; TestAnswerEndsSilence.

--- a/cmd/mimosad-dsr/main.go
+++ b/cmd/mimosad-dsr/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -29,6 +30,7 @@
 type arguments struct {
 	Settings string `arg:"--settings" placeholder:"FILE" help:"settings of the host; the platform's variable or default path otherwise"`
 	Check    bool   `arg:"--check" help:"check the settings and exit with 0, or with 2 if they are wrong"`
+	Metrics  uint16 `arg:"--metrics-port" placeholder:"PORT" help:"serve /metrics and /state on this port of the host's data address"`
 	LogLevel string `arg:"--log-level" default:"info" help:"debug, info, warn or error"`
 }
 
@@ -55,6 +57,9 @@
 	if args.Check {
 		return
 	}
+	if args.Metrics != 0 {
+		s.Metrics = netip.AddrPortFrom(s.Data.Addr(), args.Metrics)
+	}
 	if err := run(s, path, args.LogLevel); err != nil {
 		fmt.Fprintln(os.Stderr, "mimosad-dsr:", err)
 		os.Exit(exitFailed)
--- a/internal/dsr/core_test.go
+++ b/internal/dsr/core_test.go
@@ -286,3 +286,45 @@
 	failing.confirm()
 	require.False(t, u.doubtful(f.now))
 }
+
+// Once an upstream is known to be silent, other callers needn't find out for themselves.
+func TestSilentUpstreamIsLeftAtOnceByOtherFlows(t *testing.T) {
+	f := newFixture(t)
+	first := f.opened(streamPort)
+	second := f.opened(streamPort)
+	for f.upstream(second) != f.upstream(first) {
+		second = f.opened(streamPort)
+	}
+	f.keepOthersAlive(first)
+	first.request()
+	for _, pause := range []time.Duration{200, 400} {
+		f.wait(pause * time.Millisecond)
+		f.keepOthersAlive(first)
+		first.repeat()
+	}
+	require.Equal(t, Reset, first.last.Action)
+	require.Equal(t, Reset, second.request().Action)
+}
+
+func TestAnswerEndsSilence(t *testing.T) {
+	f := newFixture(t)
+	first := f.opened(streamPort)
+	second := f.opened(streamPort)
+	for f.upstream(second) != f.upstream(first) {
+		second = f.opened(streamPort)
+	}
+	f.keepOthersAlive(first)
+	first.request()
+	order := f.opened(orderPort)
+	for f.upstream(order) != f.upstream(first) {
+		order = f.opened(orderPort)
+	}
+	order.request()
+	f.wait(600 * time.Millisecond)
+	f.keepOthersAlive(first)
+	first.repeat()
+	first.repeat()
+	require.Equal(t, Reset, first.last.Action)
+	order.answered()
+	require.Equal(t, Forward, second.request().Action)
+}
--- a/internal/dsr/flows.go
+++ b/internal/dsr/flows.go
@@ -51,6 +51,8 @@
 	taken uint32
 	// repeats counts repeated packets since the last progress.
 	repeats int
+	// pending is set while a request has no answer, also when it no longer counts as work under way.
+	pending bool
 
 	recent, waiting links
 }
--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -34,7 +34,7 @@
 	if p.HasAck && int32(p.Ack-f.answered) > 0 {
 		f.answered = p.Ack
 		c.alive(now, f.progressAt, u)
-		f.progressAt, f.repeats = now, 0
+		f.progressAt, f.repeats, f.pending = now, 0, false
 		if f.phase == phaseBusy {
 			c.sample(now, u, now-f.busyAt)
 			c.cache.enter(now, f, phaseIdle)
@@ -55,7 +55,7 @@
 		f.repeats++
 		return
 	}
-	f.end = end
+	f.end, f.pending = end, true
 	if f.phase == phaseIdle {
 		c.cache.enter(now, f, phaseBusy)
 		f.progressAt, f.repeats = now, 0
@@ -88,10 +88,19 @@
 }
 
 // silent reports whether the flow's request is better repeated elsewhere: it
-// may be, and nothing came back from the upstream on any flow since it began,
-// while others answer this host.
+// may be, and nothing came back from the upstream, while others answer this
+// host. What one flow found out holds for the requests of others.
 func (c *Core) silent(now time.Duration, f *flow) bool {
 	u := f.upstream
-	return f.route != nil && f.route.Idempotent && f.phase != phaseClosed && f.repeats >= silentRepeats &&
-		now-f.progressAt >= silentFor && now-u.reachedAt >= silentFor && !c.strain.high(now)
+	if f.route == nil || !f.route.Idempotent || !f.pending || f.phase == phaseClosed || c.strain.high(now) {
+		return false
+	}
+	if f.repeats >= silentRepeats && now-f.progressAt >= silentFor && now-u.reachedAt >= silentFor {
+		if !u.silent {
+			u.silent = true
+			c.note(Record{Event: "upstream is silent", Caller: f.key.caller, Upstream: u.Key, Service: u.Service, Age: now - u.reachedAt})
+		}
+		return true
+	}
+	return u.silent
 }
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -46,6 +46,8 @@
 	// lifeAt is the last sign of life, reachedAt when the last packet was sent that the upstream answered.
 	lifeAt, reachedAt time.Duration
 	doubt             doubt
+	// silent is set when nothing came back for silentFor, until something does.
+	silent bool
 	// latency is the mean time from request to answer, in seconds; zero is unknown.
 	latency   float64
 	latencyAt time.Duration
@@ -315,6 +317,10 @@
 // packets of this host still arrive.
 func (c *Core) alive(now, sent time.Duration, u *upstream) {
 	u.lifeAt, u.reachedAt = now, max(u.reachedAt, sent)
+	if u.silent {
+		u.silent = false
+		c.note(Record{Event: "upstream is no longer silent", Upstream: u.Key, Service: u.Service})
+	}
 	z := u.zone
 	z.reachedAt = max(z.reachedAt, sent)
 	z.suspect = nil
--- a/internal/dsrhost/host.go
+++ b/internal/dsrhost/host.go
@@ -47,6 +47,7 @@
 	log      logging.Part
 	sockets  *netio.Sockets
 	ready    *readiness
+	metrics  *metricsServer
 	stats    *stats
 	started  time.Time
 
@@ -78,14 +79,28 @@
 	if h.ready, err = listenReady(p.Settings.Ready); err != nil {
 		return nil, err
 	}
+	if p.Settings.Metrics.IsValid() {
+		if h.metrics, err = listenMetrics(p.Settings.Metrics, h); err != nil {
+			h.ready.close()
+			return nil, err
+		}
+	}
 	h.sockets, err = netio.Listen(ctx, p.Settings.Data, netio.Options{Readers: 1, Batch: 1})
 	if err != nil {
-		h.ready.close()
+		h.closeListeners()
 		return nil, err
 	}
+	h.state.Store(&State{})
 	return h, nil
 }
 
+func (h *Host) closeListeners() {
+	h.ready.close()
+	if h.metrics != nil {
+		h.metrics.close()
+	}
+}
+
 // since returns the time since the start of the host.
 func (h *Host) since() time.Duration { return time.Since(h.started) }
 
@@ -98,19 +113,22 @@
 		store: h.parts.Store, layout: h.parts.Layout, log: logging.ForPart(h.parts.Logger, "directory"),
 		pause: h.settings.ApplyWithin / watchPauseParts, since: h.since, out: h.feed, again: h.again, stats: h.stats,
 	}
-	failures := make(chan error, 2)
+	failures := make(chan error, 3)
 	var duties sync.WaitGroup
 	duties.Go(func() { f.run(ctx) })
 	duties.Go(func() { failures <- h.readPackets(ctx) })
 	duties.Go(func() { failures <- h.ready.run() })
 	duties.Go(func() { h.decide(ctx) })
+	if h.metrics != nil {
+		duties.Go(func() { failures <- h.metrics.run() })
+	}
 	var err error
 	select {
 	case <-ctx.Done():
 	case err = <-failures:
 	}
 	cancel()
-	h.ready.close()
+	h.closeListeners()
 	h.sockets.Close()
 	duties.Wait()
 	h.log.Info("stopped", zap.Duration("after", h.since()), zap.Error(err))
--- /dev/null
+++ b/internal/dsrhost/metrics.go
@@ -0,0 +1,55 @@
+package dsrhost
+
+import (
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+)
+
+// The paths of the metrics listener.
+const (
+	metricsPath = "GET /metrics"
+	statePath   = "GET /state"
+)
+
+// metricsServer serves counters as text and the state of the host as JSON.
+type metricsServer struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+func listenMetrics(address netip.AddrPort, h *Host) (*metricsServer, error) {
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, eris.Wrap(err, "metrics can't be served")
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc(metricsPath, func(w http.ResponseWriter, _ *http.Request) {
+		h.stats.set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	mux.HandleFunc(statePath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		// A failed write means that the reader is gone; there is nobody to tell.
+		_ = json.NewEncoder(w).Encode(h.state.Load())
+	})
+	return &metricsServer{listener: l, server: &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}}, nil
+}
+
+func (m *metricsServer) run() error {
+	err := m.server.Serve(m.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return eris.Wrap(err, "metrics listener failed")
+}
+
+func (m *metricsServer) close() {
+	m.server.Close()
+	m.listener.Close()
+}
--- a/internal/dsrhost/settings.go
+++ b/internal/dsrhost/settings.go
@@ -20,6 +20,8 @@
 	Data    netip.AddrPort
 	Ready   netip.AddrPort
 	Control netip.AddrPort
+	// Metrics is the address for counters and the state of the host; none is served if it isn't valid.
+	Metrics netip.AddrPort
 	// Contacts are control addresses of other hosts; they may be old.
 	Contacts []netip.AddrPort
 	// Store is the address of the platform's store.
