replica, dsrpeer: hosts that the store does not answer follow another host

The design has peers for that (docs/RECOVERY.md); the platform path had none. Ways weighed: package member with heartbeats and package spread, which carry declarations and watch the hosts' list: both assume documents and identities that the platform doesn't have; host entries in the store with leases: each write wakes every watch, 33 x 33 calls at the grown size. Change: a replica of the store's items, complete up to a revision; hosts meet at the contacts of their settings; one that has no answer for 0.5 s (0.25 s at its start) follows another over WebSocket with CBOR. The reader goes on from its revision after a failure instead of reading all. Tests: package replica, dsrpeer, and the feed against a scripted store.

--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -11,6 +11,9 @@
 	// freshFor is how old the last answer of the store may be for a missing
 	// route to count as missing: two waits of a watch.
 	freshFor = 6 * time.Second
+	// freshDown is the same while the store does not answer this host: another
+	// host that it answers tells news each second.
+	freshDown = 1200 * time.Millisecond
 	// refreshInterval is the least time between two requests for a full read.
 	refreshInterval = time.Second
 	// maxUnknown bounds the tokens that wait for a full read.
@@ -75,7 +78,8 @@
 
 	// complete is set once a full directory is known.
 	complete bool
-	// heardAt is when the store last answered; storeDown is set while it doesn't.
+	// heardAt is when the store last answered this host or one that it follows;
+	// storeDown is set while it doesn't answer this host.
 	heardAt   time.Duration
 	storeDown bool
 	// settledAt is when what the store says counts again after an outage.
@@ -136,6 +140,14 @@
 	}
 }
 
+// PeerAnswered notes that another host told what it knows, and how long ago the
+// store answered that host; negative is never.
+func (c *Core) PeerAnswered(now, heard time.Duration) {
+	if heard >= 0 {
+		c.heardAt = max(c.heardAt, now-heard)
+	}
+}
+
 // StoreFailed notes a call that the store did not answer.
 func (c *Core) StoreFailed(now time.Duration, why string) {
 	if !c.storeDown {
@@ -255,7 +267,7 @@
 // noRoute decides on a packet to an address without a route. A reset needs a
 // configuration that can't have been replaced unnoticed.
 func (c *Core) noRoute(now time.Duration, p *Packet) Effect {
-	if c.storeDown || now-c.heardAt > freshFor {
+	if age := now - c.heardAt; age > freshFor || c.storeDown && age > freshDown {
 		return Effect{Action: Drop, Reason: ReasonStaleConfiguration}
 	}
 	c.noteReset(now, p, nil, ReasonNoRoute)
--- a/internal/dsrhost/decide.go
+++ b/internal/dsrhost/decide.go
@@ -52,7 +52,7 @@
 		case p := <-h.packets.Queued():
 			d.packet(p)
 			h.packets.Release(p)
-		case e := <-h.feed:
+		case e := <-h.events:
 			d.feed(e)
 		case <-ticker.C:
 			d.publish()
@@ -106,6 +106,12 @@
 		d.core.StoreAnswered(now)
 		d.core.Apply(now, e.change)
 		d.publish()
+	case feedPeer:
+		d.core.PeerAnswered(now, e.heard)
+		if e.change != nil {
+			d.core.Apply(now, e.change)
+			d.publish()
+		}
 	}
 }
 
--- a/internal/dsrhost/feed.go
+++ b/internal/dsrhost/feed.go
@@ -4,13 +4,14 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"mimosashore.example/mimosashore/internal/directory"
 	"mimosashore.example/mimosashore/internal/logging"
+	"mimosashore.example/mimosashore/internal/replica"
 	"mimosashore.example/mimosashore/internal/store"
 )
 
@@ -24,6 +25,12 @@
 	// watchPauseParts sets the least time between the returns of two watches as a part
 	// of the time in which a configuration must be in force; it joins writes that come in quick succession.
 	watchPauseParts = 12
+	// peersAfter is how long the store must have been silent before other hosts
+	// are asked: two retries, so that a single lost answer costs nobody anything.
+	peersAfter = 500 * time.Millisecond
+	// startAlone is how long a host that knows nothing waits for the store, which
+	// answers two calls in 8 ms, before it asks other hosts as well.
+	startAlone = 250 * time.Millisecond
 )
 
 // feedKind is the kind of an event of the feed.
@@ -36,6 +43,8 @@
 	feedAnswered
 	// feedFailed tells of a call without an answer.
 	feedFailed
+	// feedPeer carries a change, or none, that another host told.
+	feedPeer
 )
 
 // feedEvent is what the feed tells the core's goroutine.
@@ -43,36 +52,44 @@
 	kind   feedKind
 	change *directory.Change
 	why    string
+	// heard is how long ago the store answered the host that told it; negative is never.
+	heard time.Duration
 }
 
 // feed reads the store and hands what it reads to the core's goroutine.
 type feed struct {
-	store  store.Store
-	layout Layout
-	log    logging.Part
-	pause  time.Duration
-	since  func() time.Duration
-	out    chan<- feedEvent
+	store      store.Store
+	translator *translator
+	replica    *replica.Replica
+	log        logging.Part
+	pause      time.Duration
+	since      func() time.Duration
+	out        chan<- feedEvent
 	// again asks for a full read.
 	again <-chan struct{}
 	stats *stats
+	// heardAt is when the store last answered, as the time since the start in
+	// nanoseconds; zero is never. failing is set while the last call has no answer.
+	heardAt atomic.Int64
+	failing atomic.Bool
+	// listNext is set when the next call has to read everything.
+	listNext bool
 }
 
-// run reads until the context ends.
+// run reads until the context ends. After a failure it goes on from the
+// revision that it has, as long as the store keeps that history.
 func (f *feed) run(ctx context.Context) {
 	wait := retryMin
 	for ctx.Err() == nil {
-		at, err := f.list(ctx)
-		if err == nil {
-			wait = retryMin
-			err = f.watch(ctx, at)
-		}
+		err := f.read(ctx)
 		if err == nil || ctx.Err() != nil {
+			wait = retryMin
 			continue
 		}
 		var fault *store.Error
 		if errors.As(err, &fault) && fault.Fault == store.FaultCompacted {
 			f.log.Warn("history is gone, reading all", zap.Error(err))
+			f.listNext = true
 			continue
 		}
 		f.failed(ctx, err)
@@ -81,6 +98,49 @@
 	}
 }
 
+// read makes one call that waits for news, after a full read where that is due.
+func (f *feed) read(ctx context.Context) error {
+	select {
+	case <-f.again:
+		f.listNext = true
+	default:
+	}
+	if f.listNext || f.replica.At() == 0 {
+		if err := f.list(ctx); err != nil {
+			return err
+		}
+		f.listNext = false
+	}
+	return f.watch(ctx)
+}
+
+// answered notes an answer of the store.
+func (f *feed) answered() {
+	f.heardAt.Store(int64(max(f.since(), 1)))
+	f.failing.Store(false)
+}
+
+// heard returns how long ago the store answered; negative is never.
+func (f *feed) heard() time.Duration {
+	at := f.heardAt.Load()
+	if at == 0 {
+		return -1
+	}
+	return f.since() - time.Duration(at)
+}
+
+// needsPeers reports whether the store leaves the host without answers.
+func (f *feed) needsPeers() bool {
+	if f.replica.At() == 0 && f.since() > startAlone {
+		return true
+	}
+	if !f.failing.Load() {
+		return false
+	}
+	heard := f.heard()
+	return heard < 0 || heard > peersAfter
+}
+
 // sleep waits for a time or the end of the context.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -104,107 +164,65 @@
 }
 
 func (f *feed) failed(ctx context.Context, err error) {
+	f.failing.Store(true)
 	f.stats.storeFailed.Inc()
 	f.send(ctx, feedEvent{kind: feedFailed, why: err.Error()})
 }
 
-// list reads everything and returns the revision to watch from. Writes during
-// the listing are repeated by the watch, which begins at the first page.
-func (f *feed) list(ctx context.Context) (store.Revision, error) {
-	ch := &directory.Change{Full: true, Asked: f.since()}
+// list reads everything. Writes during the listing are repeated by the watch,
+// which begins at the first page.
+func (f *feed) list(ctx context.Context) error {
+	u := replica.Update{Full: true}
+	asked := f.since()
 	for after, more := "", true; more; {
 		f.stats.storeCalls.Inc()
-		page, err := f.store.List(ctx, f.layout.UpstreamPrefix, after, 0)
+		page, err := f.store.List(ctx, f.translator.layout.UpstreamPrefix, after, 0)
 		if err != nil {
-			return 0, err
+			return err
 		}
-		if ch.At == 0 {
-			ch.At = page.At
+		if u.At == 0 {
+			u.At = page.At
 		}
 		for _, e := range page.Entries {
-			f.takeWrite(ch, e)
+			u.Events = append(u.Events, store.Event{Entry: e})
 			after = e.Key
 		}
 		more = page.More && len(page.Entries) > 0
 	}
 	f.stats.storeCalls.Inc()
-	entry, err := f.store.Get(ctx, f.layout.ConfigurationKey)
+	entry, err := f.store.Get(ctx, f.translator.layout.ConfigurationKey)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	if entry.Modified != 0 {
-		f.takeWrite(ch, entry)
+		u.Events = append(u.Events, store.Event{Entry: entry})
 	}
-	f.log.Info("directory read", zap.Uint64("revision", uint64(ch.At)), zap.Int("upstreams", len(ch.Upstreams)), zap.Int("unusable", len(ch.Removed)))
+	f.answered()
+	f.replica.Take(u)
+	ch := f.translator.change(u)
+	ch.Asked = asked
+	f.log.Info("directory read", zap.Uint64("revision", uint64(u.At)), zap.Int("upstreams", len(ch.Upstreams)), zap.Int("unusable", len(ch.Removed)))
 	f.send(ctx, feedEvent{kind: feedChange, change: ch})
-	return ch.At, nil
+	return nil
 }
 
-// watch waits for writes after a revision until a call fails or a full read is asked for.
-func (f *feed) watch(ctx context.Context, at store.Revision) error {
-	for {
-		began := f.since()
-		f.stats.storeCalls.Inc()
-		events, next, err := f.store.Watch(ctx, "", at, watchWait)
-		if err != nil {
-			return err
-		}
-		at = max(at, next)
-		if ch := f.takeEvents(events, at); ch != nil {
-			f.send(ctx, feedEvent{kind: feedChange, change: ch})
-		} else {
-			f.send(ctx, feedEvent{kind: feedAnswered})
-		}
-		select {
-		case <-f.again:
-			return nil
-		default:
-		}
-		if took := f.since() - began; took < f.pause {
-			sleep(ctx, f.pause-took)
-		}
-	}
-}
-
-// takeEvents returns the change that events make, or nil.
-func (f *feed) takeEvents(events []store.Event, at store.Revision) *directory.Change {
-	ch := &directory.Change{At: at}
-	for i := range events {
-		e := &events[i]
-		if !e.Deleted {
-			f.takeWrite(ch, e.Entry)
-			continue
-		}
-		if strings.HasPrefix(e.Entry.Key, f.layout.UpstreamPrefix) {
-			ch.Removed = append(ch.Removed, directory.Removal{Key: e.Entry.Key, Revision: e.Entry.Modified})
-		}
+// watch waits for writes once, and pauses so that writes in quick succession come together.
+func (f *feed) watch(ctx context.Context) error {
+	began := f.since()
+	f.stats.storeCalls.Inc()
+	at := f.replica.At()
+	events, next, err := f.store.Watch(ctx, "", at, watchWait)
+	if err != nil {
+		return err
 	}
-	if len(ch.Upstreams) == 0 && len(ch.Removed) == 0 && ch.Configuration == nil {
-		return nil
+	f.answered()
+	if fresh, ok := f.replica.Take(replica.Update{At: max(at, next), Events: f.translator.ours(events)}); ok && len(fresh.Events) > 0 {
+		f.send(ctx, feedEvent{kind: feedChange, change: f.translator.change(fresh)})
+	} else {
+		f.send(ctx, feedEvent{kind: feedAnswered})
 	}
-	return ch
-}
-
-// takeWrite adds a written item to a change.
-func (f *feed) takeWrite(ch *directory.Change, e store.Entry) {
-	switch {
-	case e.Key == f.layout.ConfigurationKey:
-		c, problems := f.layout.DecodeConfiguration(e.Value, e.Modified)
-		for _, p := range problems {
-			f.stats.malformedItems.Inc()
-			f.log.Warn("configuration has a part that can't be read", zap.Uint64("revision", uint64(e.Modified)), zap.Error(p))
-		}
-		if c != nil {
-			ch.Configuration = c
-		}
-	case strings.HasPrefix(e.Key, f.layout.UpstreamPrefix):
-		u, err := f.layout.DecodeUpstream(e.Key, e.Value, e.Modified)
-		if err != nil {
-			f.stats.malformedItems.Inc()
-			f.log.Warn("registration is not used", zap.Uint64("revision", uint64(e.Modified)), zap.Error(err))
-			ch.Removed = append(ch.Removed, directory.Removal{Key: e.Key, Revision: e.Modified, Malformed: true})
-			return
-		}
-		ch.Upstreams = append(ch.Upstreams, u)
+	if took := f.since() - began; took < f.pause {
+		sleep(ctx, f.pause-took)
 	}
+	return nil
 }
--- /dev/null
+++ b/internal/dsrhost/feed_test.go
@@ -0,0 +1,207 @@
+package dsrhost
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"mimosashore.example/mimosashore/internal/directory"
+	"mimosashore.example/mimosashore/internal/logging"
+	"mimosashore.example/mimosashore/internal/replica"
+	"mimosashore.example/mimosashore/internal/store"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// scriptedStore answers calls from lists that a test fills.
+type scriptedStore struct {
+	store.Store
+	mu      sync.Mutex
+	pages   []store.Page
+	config  store.Entry
+	watches []watchAnswer
+	after   []store.Revision
+	lists   int
+}
+
+type watchAnswer struct {
+	events []store.Event
+	at     store.Revision
+	err    error
+}
+
+func (s *scriptedStore) Get(context.Context, string) (store.Entry, error) { return s.config, nil }
+
+func (s *scriptedStore) List(_ context.Context, _, after string, _ int) (store.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after == "" {
+		s.lists++
+	}
+	for i, p := range s.pages {
+		if after == "" && i == 0 || i > 0 && s.pages[i-1].Entries[len(s.pages[i-1].Entries)-1].Key == after {
+			return p, nil
+		}
+	}
+	return store.Page{}, nil
+}
+
+func (s *scriptedStore) Watch(ctx context.Context, _ string, after store.Revision, _ time.Duration) ([]store.Event, store.Revision, error) {
+	s.mu.Lock()
+	s.after = append(s.after, after)
+	if len(s.watches) == 0 {
+		s.mu.Unlock()
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	a := s.watches[0]
+	s.watches = s.watches[1:]
+	s.mu.Unlock()
+	return a.events, a.at, a.err
+}
+
+// calls returns the revision of the first watch and the number of full reads.
+func (s *scriptedStore) calls() (first store.Revision, lists int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.after[0], s.lists
+}
+
+// testLayout reads registrations that are the service's name, and configurations that are a version.
+var testLayout = Layout{
+	UpstreamPrefix:   "up/",
+	ConfigurationKey: "config",
+	DecodeUpstream: func(key string, value []byte, revision store.Revision) (directory.Upstream, error) {
+		if len(value) == 0 {
+			return directory.Upstream{}, errors.New("empty")
+		}
+		return directory.Upstream{Key: key, Service: string(value), Revision: revision}, nil
+	},
+	DecodeConfiguration: func(value []byte, revision store.Revision) (*directory.Configuration, []error) {
+		c := &directory.Configuration{Revision: revision}
+		if err := json.Unmarshal(value, &c.Version); err != nil {
+			return nil, []error{err}
+		}
+		return c, nil
+	},
+}
+
+// runFeed runs a feed of the store until the test ends and returns its events.
+func runFeed(t *testing.T, s store.Store) (*feed, chan feedEvent) {
+	events := make(chan feedEvent, 64)
+	log := logging.ForPart(zap.NewNop(), "directory")
+	st := newStats(nil)
+	began := time.Now()
+	f := &feed{
+		store: s, translator: &translator{layout: testLayout, log: log, stats: st}, replica: replica.New(), log: log,
+		since: func() time.Duration { return time.Since(began) }, out: events, again: make(chan struct{}), stats: st,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return f, events
+}
+
+func entry(key, value string, revision store.Revision) store.Entry {
+	return store.Entry{Key: key, Value: []byte(value), Modified: revision}
+}
+
+func upstreamKeys(ch *directory.Change) []string {
+	var keys []string
+	for _, u := range ch.Upstreams {
+		keys = append(keys, u.Key)
+	}
+	return keys
+}
+
+func TestFeedReadsAllPagesAndWatchesFromTheFirst(t *testing.T) {
+	s := &scriptedStore{
+		pages: []store.Page{
+			{At: 20, More: true, Entries: []store.Entry{entry("up/a", "orders", 5)}},
+			{At: 23, Entries: []store.Entry{entry("up/b", "orders", 22), entry("up/c", "", 8)}},
+		},
+		config:  entry("config", "7", 21),
+		watches: []watchAnswer{{events: []store.Event{{Entry: entry("up/b", "orders", 22)}, {Entry: store.Entry{Key: "up/a", Modified: 24}, Deleted: true}}, at: 24}},
+	}
+	_, events := runFeed(t, s)
+	first := <-events
+	require.True(t, first.change.Full)
+	require.Equal(t, []string{"up/a", "up/b"}, upstreamKeys(first.change))
+	require.Equal(t, []directory.Removal{{Key: "up/c", Revision: 8, Malformed: true}}, first.change.Removed)
+	require.EqualValues(t, 7, first.change.Configuration.Version)
+	require.EqualValues(t, 20, first.change.At)
+	second := <-events
+	require.Equal(t, []string{"up/b"}, upstreamKeys(second.change), "the write after the first page is repeated")
+	require.Equal(t, []directory.Removal{{Key: "up/a", Revision: 24}}, second.change.Removed)
+	from, _ := s.calls()
+	require.EqualValues(t, 20, from)
+}
+
+func TestFeedGoesOnWhereItStoppedAfterAFailure(t *testing.T) {
+	s := &scriptedStore{
+		pages:   []store.Page{{At: 20, Entries: []store.Entry{entry("up/a", "orders", 5)}}},
+		watches: []watchAnswer{{err: &store.Error{Fault: store.FaultUnavailable}}, {at: 25, events: []store.Event{{Entry: entry("up/d", "orders", 25)}}}},
+	}
+	_, events := runFeed(t, s)
+	require.Equal(t, feedChange, (<-events).kind)
+	require.Equal(t, feedFailed, (<-events).kind)
+	require.Equal(t, []string{"up/d"}, upstreamKeys((<-events).change))
+	_, lists := s.calls()
+	require.Equal(t, 1, lists, "a full read is priced twice and not needed")
+}
+
+func TestFeedReadsAllWhenHistoryIsGone(t *testing.T) {
+	s := &scriptedStore{
+		pages:   []store.Page{{At: 20, Entries: []store.Entry{entry("up/a", "orders", 5)}}},
+		watches: []watchAnswer{{err: &store.Error{Fault: store.FaultCompacted}}},
+	}
+	_, events := runFeed(t, s)
+	require.True(t, (<-events).change.Full)
+	require.True(t, (<-events).change.Full)
+	_, lists := s.calls()
+	require.Equal(t, 2, lists)
+}
+
+func TestFeedIgnoresOtherKeysAndKeepsARemovedConfiguration(t *testing.T) {
+	s := &scriptedStore{
+		pages: []store.Page{{At: 20}}, config: entry("config", "7", 3),
+		watches: []watchAnswer{
+			{at: 22, events: []store.Event{{Entry: entry("other/x", "1", 21)}, {Entry: entry("upx", "1", 22)}}},
+			{at: 23, events: []store.Event{{Entry: store.Entry{Key: "config", Modified: 23}, Deleted: true}}},
+		},
+	}
+	_, events := runFeed(t, s)
+	require.EqualValues(t, 7, (<-events).change.Configuration.Version)
+	require.Equal(t, feedAnswered, (<-events).kind)
+	third := <-events
+	require.Nil(t, third.change.Configuration)
+}
+
+func TestFeedAsksPeersOnlyAfterSilence(t *testing.T) {
+	now := time.Second
+	f := &feed{replica: replica.New(), since: func() time.Duration { return now }}
+	require.True(t, f.needsPeers(), "a host that knows nothing and waited long enough")
+	f.replica.Take(replica.Update{Full: true, At: 1})
+	f.answered()
+	require.False(t, f.needsPeers())
+	f.failing.Store(true)
+	require.False(t, f.needsPeers(), "one lost answer")
+	now += peersAfter + time.Millisecond
+	require.True(t, f.needsPeers())
+	f.answered()
+	require.False(t, f.needsPeers())
+}
--- a/internal/dsrhost/host.go
+++ b/internal/dsrhost/host.go
@@ -9,8 +9,10 @@
 	"go.uber.org/zap"
 
 	"mimosashore.example/mimosashore/internal/dsr"
+	"mimosashore.example/mimosashore/internal/dsrpeer"
 	"mimosashore.example/mimosashore/internal/logging"
 	"mimosashore.example/mimosashore/internal/netio"
+	"mimosashore.example/mimosashore/internal/replica"
 	"mimosashore.example/mimosashore/internal/ring"
 	"mimosashore.example/mimosashore/internal/store"
 )
@@ -51,10 +53,15 @@
 	stats    *stats
 	started  time.Time
 
-	packets *ring.Ring[packet]
-	feed    chan feedEvent
-	again   chan struct{}
-	state   atomic.Pointer[State]
+	packets    *ring.Ring[packet]
+	events     chan feedEvent
+	again      chan struct{}
+	replica    *replica.Replica
+	translator *translator
+	feed       *feed
+	// peer is nil if the host has no control address.
+	peer  *dsrpeer.Peer
+	state atomic.Pointer[State]
 }
 
 // packet is a packet on its way to the core.
@@ -71,22 +78,17 @@
 		log:      logging.ForPart(p.Logger, "host"),
 		started:  time.Now(),
 		packets:  ring.New[packet](packetRing),
-		feed:     make(chan feedEvent, feedQueue),
+		events:   make(chan feedEvent, feedQueue),
 		again:    make(chan struct{}, 1),
+		replica:  replica.New(),
 	}
 	h.stats = newStats(p.Lines)
-	var err error
-	if h.ready, err = listenReady(p.Settings.Ready); err != nil {
-		return nil, err
-	}
-	if p.Settings.Metrics.IsValid() {
-		if h.metrics, err = listenMetrics(p.Settings.Metrics, h); err != nil {
-			h.ready.close()
-			return nil, err
-		}
+	h.translator = &translator{layout: p.Layout, log: logging.ForPart(p.Logger, "directory"), stats: h.stats}
+	h.feed = &feed{
+		store: p.Store, translator: h.translator, replica: h.replica, log: h.translator.log,
+		pause: p.Settings.ApplyWithin / watchPauseParts, since: h.since, out: h.events, again: h.again, stats: h.stats,
 	}
-	h.sockets, err = netio.Listen(ctx, p.Settings.Data, netio.Options{Readers: 1, Batch: 1})
-	if err != nil {
+	if err := h.listen(ctx); err != nil {
 		h.closeListeners()
 		return nil, err
 	}
@@ -94,11 +96,54 @@
 	return h, nil
 }
 
+// listen opens the listeners that the settings name.
+func (h *Host) listen(ctx context.Context) error {
+	s := h.settings
+	var err error
+	if h.ready, err = listenReady(s.Ready); err != nil {
+		return err
+	}
+	if s.Metrics.IsValid() {
+		if h.metrics, err = listenMetrics(s.Metrics, h); err != nil {
+			return err
+		}
+	}
+	if s.Control.IsValid() {
+		h.peer, err = dsrpeer.Listen(dsrpeer.Settings{
+			Control: s.Control, Contacts: s.Contacts, Replica: h.replica, Needed: h.feed.needsPeers, Heard: h.feed.heard,
+			Take: h.takeFromPeer, Log: logging.ForPart(h.parts.Logger, "peer"), Now: h.since,
+		})
+		if err != nil {
+			return err
+		}
+	}
+	h.sockets, err = netio.Listen(ctx, s.Data, netio.Options{Readers: 1, Batch: 1})
+	return err
+}
+
 func (h *Host) closeListeners() {
-	h.ready.close()
+	if h.ready != nil {
+		h.ready.close()
+	}
 	if h.metrics != nil {
 		h.metrics.close()
 	}
+	if h.peer != nil {
+		h.peer.Close()
+	}
+	if h.sockets != nil {
+		h.sockets.Close()
+	}
+}
+
+// takeFromPeer hands an update of another host to the core.
+func (h *Host) takeFromPeer(ctx context.Context, u replica.Update, heard time.Duration) {
+	e := feedEvent{kind: feedPeer, heard: heard}
+	if fresh, ok := h.replica.Take(u); ok {
+		e.change = h.translator.change(fresh)
+		e.change.FromPeer = true
+	}
+	h.feed.send(ctx, e)
 }
 
 // since returns the time since the start of the host.
@@ -109,19 +154,19 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h.log.Info("started", zap.String("name", h.settings.Name), zap.String("zone", h.settings.Zone), zap.Stringer("data", h.settings.Data), zap.Stringer("store", h.settings.Store))
-	f := &feed{
-		store: h.parts.Store, layout: h.parts.Layout, log: logging.ForPart(h.parts.Logger, "directory"),
-		pause: h.settings.ApplyWithin / watchPauseParts, since: h.since, out: h.feed, again: h.again, stats: h.stats,
-	}
-	failures := make(chan error, 3)
+	failures := make(chan error, 4)
 	var duties sync.WaitGroup
-	duties.Go(func() { f.run(ctx) })
+	duties.Go(func() { h.feed.run(ctx) })
 	duties.Go(func() { failures <- h.readPackets(ctx) })
 	duties.Go(func() { failures <- h.ready.run() })
 	duties.Go(func() { h.decide(ctx) })
 	if h.metrics != nil {
 		duties.Go(func() { failures <- h.metrics.run() })
 	}
+	if h.peer != nil {
+		duties.Go(func() { failures <- h.peer.Serve(ctx) })
+		duties.Go(func() { h.peer.Run(ctx) })
+	}
 	var err error
 	select {
 	case <-ctx.Done():
@@ -129,7 +174,6 @@
 	}
 	cancel()
 	h.closeListeners()
-	h.sockets.Close()
 	duties.Wait()
 	h.log.Info("stopped", zap.Duration("after", h.since()), zap.Error(err))
 	return err
--- /dev/null
+++ b/internal/dsrhost/translate.go
@@ -0,0 +1,75 @@
+package dsrhost
+
+import (
+	"strings"
+
+	"go.uber.org/zap"
+
+	"mimosashore.example/mimosashore/internal/directory"
+	"mimosashore.example/mimosashore/internal/logging"
+	"mimosashore.example/mimosashore/internal/replica"
+	"mimosashore.example/mimosashore/internal/store"
+)
+
+// translator reads items of the store by the platform's layout.
+type translator struct {
+	layout Layout
+	log    logging.Part
+	stats  *stats
+}
+
+// ours returns the events that concern the directory.
+func (t *translator) ours(events []store.Event) []store.Event {
+	out := events[:0]
+	for i := range events {
+		if key := events[i].Entry.Key; key == t.layout.ConfigurationKey || strings.HasPrefix(key, t.layout.UpstreamPrefix) {
+			out = append(out, events[i])
+		}
+	}
+	return out
+}
+
+// change returns the change of the directory that an update makes. Items that
+// can't be read are logged, counted and left out.
+func (t *translator) change(u replica.Update) *directory.Change {
+	ch := &directory.Change{Full: u.Full, At: u.At}
+	for i := range u.Events {
+		e := &u.Events[i]
+		switch {
+		case e.Entry.Key == t.layout.ConfigurationKey:
+			t.configuration(ch, e)
+		case e.Deleted:
+			ch.Removed = append(ch.Removed, directory.Removal{Key: e.Entry.Key, Revision: e.Entry.Modified})
+		default:
+			t.registration(ch, &e.Entry)
+		}
+	}
+	return ch
+}
+
+func (t *translator) configuration(ch *directory.Change, e *store.Event) {
+	if e.Deleted {
+		t.stats.malformedItems.Inc()
+		t.log.Warn("configuration was removed, the last one stays in force", zap.Uint64("revision", uint64(e.Entry.Modified)))
+		return
+	}
+	c, problems := t.layout.DecodeConfiguration(e.Entry.Value, e.Entry.Modified)
+	for _, p := range problems {
+		t.stats.malformedItems.Inc()
+		t.log.Warn("configuration has a part that can't be read", zap.Uint64("revision", uint64(e.Entry.Modified)), zap.Error(p))
+	}
+	if c != nil {
+		ch.Configuration = c
+	}
+}
+
+func (t *translator) registration(ch *directory.Change, e *store.Entry) {
+	u, err := t.layout.DecodeUpstream(e.Key, e.Value, e.Modified)
+	if err != nil {
+		t.stats.malformedItems.Inc()
+		t.log.Warn("registration is not used", zap.Uint64("revision", uint64(e.Modified)), zap.Error(err))
+		ch.Removed = append(ch.Removed, directory.Removal{Key: e.Key, Revision: e.Modified, Malformed: true})
+		return
+	}
+	ch.Upstreams = append(ch.Upstreams, u)
+}
--- /dev/null
+++ b/internal/dsrpeer/peer_test.go
@@ -0,0 +1,141 @@
+package dsrpeer
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"mimosashore.example/mimosashore/internal/logging"
+	"mimosashore.example/mimosashore/internal/replica"
+	"mimosashore.example/mimosashore/internal/store"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// host is a Peer with its replica.
+type host struct {
+	*Peer
+	replica *replica.Replica
+	needed  atomic.Bool
+	mu      sync.Mutex
+	heard   []time.Duration
+	// stop ends the host.
+	stop func()
+}
+
+// start runs a host on a free port until the test ends.
+func start(t *testing.T, contacts ...netip.AddrPort) *host {
+	h := &host{replica: replica.New()}
+	began := time.Now()
+	s := Settings{
+		Control: netip.MustParseAddrPort("127.0.0.1:0"), Contacts: contacts, Replica: h.replica,
+		Needed: h.needed.Load, Heard: func() time.Duration { return 40 * time.Millisecond },
+		Take: func(_ context.Context, u replica.Update, heard time.Duration) {
+			h.replica.Take(u)
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.heard = append(h.heard, heard)
+		},
+		Log: logging.ForPart(zap.NewNop(), "peer"), Now: func() time.Duration { return time.Since(began) },
+	}
+	p, err := Listen(s)
+	require.NoError(t, err)
+	p.settings.Control = netip.MustParseAddrPort(p.listener.Addr().String())
+	p.book.self = p.settings.Control
+	h.Peer = p
+	ctx, cancel := context.WithCancel(context.Background())
+	var duties sync.WaitGroup
+	duties.Go(func() { require.NoError(t, p.Serve(ctx)) })
+	duties.Go(func() { p.Run(ctx) })
+	h.stop = func() {
+		cancel()
+		duties.Wait()
+	}
+	t.Cleanup(h.stop)
+	return h
+}
+
+func write1(key string, revision store.Revision) store.Event {
+	return store.Event{Entry: store.Entry{Key: key, Value: []byte("v"), Modified: revision}}
+}
+
+func TestHostFollowsAnotherWhileTheStoreIsSilent(t *testing.T) {
+	a := start(t)
+	a.replica.Take(replica.Update{Full: true, At: 10, Events: []store.Event{write1("x", 3)}})
+	b := start(t, a.settings.Control)
+	b.needed.Store(true)
+	require.Eventually(t, func() bool { return b.replica.At() == 10 }, 5*time.Second, 5*time.Millisecond)
+	a.replica.Take(replica.Update{At: 12, Events: []store.Event{write1("y", 12)}})
+	require.Eventually(t, func() bool { return b.replica.At() == 12 }, 5*time.Second, 5*time.Millisecond)
+	b.mu.Lock()
+	require.Equal(t, 40*time.Millisecond, b.heard[0])
+	b.mu.Unlock()
+	snapshot, s := b.replica.Subscribe()
+	b.replica.Unsubscribe(s)
+	require.Len(t, snapshot.Events, 2)
+}
+
+// The contact is gone when it is needed; the host it named before isn't.
+func TestHostsLearnOfEachOtherFromAContact(t *testing.T) {
+	contact := start(t)
+	a, b := start(t, contact.settings.Control), start(t, contact.settings.Control)
+	a.replica.Take(replica.Update{Full: true, At: 7})
+	require.Eventually(t, func() bool { return contact.Known() == 2 }, 5*time.Second, 5*time.Millisecond)
+	c := start(t, contact.settings.Control)
+	require.Eventually(t, func() bool { return c.Known() >= 2 }, 5*time.Second, 5*time.Millisecond)
+	contact.stop()
+	c.needed.Store(true)
+	require.Eventually(t, func() bool { return c.replica.At() == 7 }, 5*time.Second, 5*time.Millisecond)
+	require.Zero(t, b.replica.At())
+}
+
+func TestHostThatKnowsNothingIsPassedOver(t *testing.T) {
+	empty, full := start(t), start(t)
+	full.replica.Take(replica.Update{Full: true, At: 9})
+	c := start(t, empty.settings.Control, full.settings.Control)
+	c.needed.Store(true)
+	require.Eventually(t, func() bool { return c.replica.At() == 9 }, 5*time.Second, 5*time.Millisecond)
+}
+
+func TestBookForgetsTheOldestHost(t *testing.T) {
+	b := newBook(netip.MustParseAddrPort("10.0.0.1:1"), nil)
+	at := func(n int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), 1)
+	}
+	for n := range bookSize + 5 {
+		b.add(time.Duration(n)*time.Second, at(n))
+	}
+	known := b.list(time.Duration(bookSize) * time.Second)
+	require.Len(t, known, bookSize)
+	require.NotContains(t, known, at(4))
+	b.add(bookSize*time.Second, b.self)
+	require.NotContains(t, b.list(bookSize*time.Second), b.self)
+	require.Empty(t, b.list(10*bookAge))
+}
+
+func FuzzDecode(f *testing.F) {
+	seed, err := messages.Marshal(&news{Peers: []string{"10.0.0.1:1"}, Full: true, At: 4, Items: []item{{Key: "a", Revision: 3}}})
+	require.NoError(f, err)
+	f.Add(seed)
+	hi, err := messages.Marshal(&hello{Control: "10.0.0.1:1"})
+	require.NoError(f, err)
+	f.Add(hi)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if n, err := decodeNews(b); err == nil {
+			for _, e := range n.update().Events {
+				require.LessOrEqual(t, uint64(e.Entry.Modified), n.At)
+			}
+		}
+		if h, err := decodeHello(b); err == nil {
+			_, err := netip.ParseAddrPort(h.Control)
+			require.NoError(t, err)
+		}
+	})
+}
