--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,12 @@
 # Targets: test (what CI runs), demo, measure, capacity, bench, build, lint, race, link, fuzz, clean.
 GO ?= go
-PROGRAMS := mimosad mimosactl mimosa-standin
+PROGRAMS := mimosad mimosad-dsr mimosactl mimosa-standin
 
-# The fuzz targets, as package:function, and the number of inputs for each.
-FUZZ := wire:FuzzCheck wire:FuzzEnvelope forward:FuzzRoute hostcore:FuzzPacket daemon:FuzzHost \
-	config:FuzzDecodeDocument member:FuzzDecodeMessage spread:FuzzDecodeMessage inifile:FuzzParse
+# The fuzz targets, as directory:function, and the number of inputs for each.
+FUZZ := internal/wire:FuzzCheck internal/wire:FuzzEnvelope internal/forward:FuzzRoute internal/hostcore:FuzzPacket \
+	internal/daemon:FuzzHost internal/config:FuzzDecodeDocument internal/member:FuzzDecodeMessage \
+	internal/spread:FuzzDecodeMessage internal/inifile:FuzzParse internal/dsrpeer:FuzzDecode \
+	platform:FuzzPacket platform:FuzzRegistration platform:FuzzConfiguration platform:FuzzSettings
 FUZZ_COUNT := 20000x
 
 .PHONY: build test lint race sessions link fuzz bench demo measure capacity clean
@@ -27,7 +29,7 @@
 fuzz:
 	@for t in $(FUZZ); do \
 		echo "fuzz $$t"; \
-		$(GO) test -run '^$$' -parallel 2 -fuzz "^$${t#*:}\$$" -fuzztime $(FUZZ_COUNT) ./internal/$${t%%:*} || exit 1; \
+		$(GO) test -run '^$$' -parallel 2 -fuzz "^$${t#*:}\$$" -fuzztime $(FUZZ_COUNT) ./$${t%%:*} || exit 1; \
 	done
 
 # The random schedules of package session in full number, without the race detector.
--- a/cmd/mimosad-dsr/main.go
+++ b/cmd/mimosad-dsr/main.go
@@ -120,11 +120,7 @@
 		case s := <-signals:
 			switch {
 			case s == syscall.SIGHUP:
-				if _, err := platform.LoadSettings(path); err != nil {
-					log.Warn("reload refused, the settings of the start stay in force", zap.Error(err))
-				} else {
-					log.Info("reload checked")
-				}
+				reload(host, path, log)
 			case leaving:
 				log.Warn("second signal, the host ends at once")
 				cancel()
@@ -138,3 +134,15 @@
 		}
 	}
 }
+
+// reload takes over what may change while the host runs: the contacts. A file
+// with problems leaves all as it is.
+func reload(host *dsrhost.Host, path string, log logging.Part) {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		log.Warn("reload refused, the settings before stay in force", zap.Error(err))
+		return
+	}
+	host.SetContacts(s.Contacts)
+	log.Info("reload done", zap.Int("contacts", len(s.Contacts)))
+}
--- a/internal/dsrhost/host.go
+++ b/internal/dsrhost/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -136,6 +137,13 @@
 	}
 }
 
+// SetContacts replaces the contacts after a change of the settings.
+func (h *Host) SetContacts(contacts []netip.AddrPort) {
+	if h.peer != nil {
+		h.peer.SetContacts(contacts)
+	}
+}
+
 // takeFromPeer hands an update of another host to the core.
 func (h *Host) takeFromPeer(ctx context.Context, u replica.Update, heard time.Duration) {
 	e := feedEvent{kind: feedPeer, heard: heard}
--- /dev/null
+++ b/internal/standin/dsrworld/upstream.go
@@ -0,0 +1,141 @@
+package dsrworld
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// targetSize is the size of the identity in front of a packet to an upstream.
+const targetSize = 8
+
+// Registration is what an upstream writes into the store.
+type Registration struct {
+	Service    string `json:"service"`
+	Addr       string `json:"addr"`
+	Zone       string `json:"zone"`
+	Version    string `json:"version"`
+	Slots      int    `json:"slots"`
+	State      string `json:"state"`
+	ColdLeftMs int    `json:"coldLeftMs"`
+	Seq        int    `json:"seq"`
+	Born       int64  `json:"born"`
+}
+
+// Upstream answers requests of callers directly. An answer repeats the request
+// behind the name of the upstream.
+type Upstream struct {
+	Name         string
+	ID           uint64
+	Registration Registration
+
+	conn *net.UDPConn
+	mu   sync.Mutex
+	// flows holds the next byte expected of each open flow.
+	flows map[netip.AddrPort]uint32
+	// ran counts runs of each request, misses packets that were not for this upstream.
+	ran    map[string]int
+	misses int
+	opened int
+}
+
+// NewUpstream starts an upstream at a loopback address.
+func NewUpstream(id uint64, service, zone string, addr netip.AddrPort) (*Upstream, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, err
+	}
+	u := &Upstream{
+		Name: fmt.Sprintf("i-%08x", id), ID: id, conn: conn, flows: make(map[netip.AddrPort]uint32), ran: make(map[string]int),
+		Registration: Registration{
+			Service: service, Addr: conn.LocalAddr().String(), Zone: zone, Version: "v1", Slots: 2, State: "ready",
+			Seq: 1, Born: time.Now().UnixMilli(),
+		},
+	}
+	go u.run()
+	return u, nil
+}
+
+// Key is the key of the registration in the store.
+func (u *Upstream) Key() string { return "servers/" + u.Name }
+
+// Close ends the upstream.
+func (u *Upstream) Close() { u.conn.Close() }
+
+// Opened returns the number of flows that were opened here.
+func (u *Upstream) Opened() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.opened
+}
+
+// Misses returns the number of packets that were meant for another upstream or changed on the way.
+func (u *Upstream) Misses() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.misses
+}
+
+// Ran returns how often a request ran.
+func (u *Upstream) Ran(request string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.ran[request]
+}
+
+func (u *Upstream) run() {
+	buf := make([]byte, 2048)
+	for {
+		n, from, err := u.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		u.take(buf[:n], from.Port())
+	}
+}
+
+// take handles a packet; the port of the fabric is that of the hosts' data address.
+func (u *Upstream) take(b []byte, port uint16) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(b) < targetSize {
+		u.misses++
+		return
+	}
+	id := binary.BigEndian.Uint64(b)
+	p, whole := decode(b[targetSize:])
+	if !whole || id != 0 && id != u.ID {
+		u.misses++
+		return
+	}
+	back := packet{src: p.dst, dst: p.src, echo: p.echo, flags: ack}
+	next, open := u.flows[p.src]
+	switch {
+	case p.flags&syn != 0:
+		u.flows[p.src] = p.seq + 1
+		if !open {
+			u.opened++
+		}
+		back.flags, back.seq, back.ack = syn|ack, uint32(u.ID), p.seq+1
+	case !open:
+		back.flags, back.seq = rst, p.ack
+	case len(p.data) > 0:
+		if p.seq == next {
+			u.flows[p.src] = next + uint32(len(p.data))
+			u.ran[string(p.data)]++
+		}
+		back.seq, back.ack = p.ack, p.seq+uint32(len(p.data))
+		back.data = []byte(u.Name + " " + string(p.data))
+	case p.flags&fin != 0:
+		delete(u.flows, p.src)
+		back.flags, back.seq, back.ack = fin|ack, p.ack, p.seq+1
+	default:
+		return
+	}
+	to := netip.AddrPortFrom(p.src.Addr(), port)
+	// A lost packet is sent again by the caller.
+	_, _ = u.conn.WriteToUDPAddrPort(back.encode(), to)
+}
