dsrpeer: two hosts of a zone read the store for the others

Change: hosts rank the known hosts of their zone in the same order; beyond the second one they follow a host that hears from the store itself, and read it themselves at once when the link is silent for 1.2 s, the other loses the store, or its last answer is over 4 s old. Only where a configuration has 4.5 s or more to be in force: a lost watch is noticed after 2.9 s. A watch waits 2 s instead of 3. Tests: TestTwoHostsOfAZoneReadTheStoreForTheOthers, TestHostThatTheStoreDoesNotAnswerIsNoWatcher.

--- a/internal/dsrhost/feed.go
+++ b/internal/dsrhost/feed.go
@@ -16,18 +16,22 @@
 )
 
 const (
-	// watchWait is how long a watch waits for a write. A silent connection is
-	// noticed after it and the timeout of a call, within the platform's bound of 4 s for a stable host.
-	watchWait = 3 * time.Second
+	// watchWait is how long a watch waits for a write. A silent connection is noticed after it and the timeout
+	// of a call, so that the rest of the platform's bound of 3 s after 4 s of calm is left for a new call.
+	watchWait = 2 * time.Second
 	// retryMin and retryMax bound the pause after a failed call.
 	retryMin = 100 * time.Millisecond
 	retryMax = 800 * time.Millisecond
 	// watchPauseParts sets the least time between the returns of two watches as a part
 	// of the time in which a configuration must be in force; it joins writes that come in quick succession.
-	watchPauseParts = 12
+	watchPauseParts = 8
 	// peersAfter is how long the store must have been silent before other hosts
 	// are asked: two retries, so that a single lost answer costs nobody anything.
 	peersAfter = 500 * time.Millisecond
+	// delegateWithin is the shortest time in which a configuration must be in
+	// force with which hosts read the store for each other: 2.9 s until a host notices that its
+	// watch is lost, 0.4 s until it tells the others, 1 s for their own call.
+	delegateWithin = 4500 * time.Millisecond
 	// startAlone is how long a host that knows nothing waits for the store, which
 	// answers two calls in 8 ms, before it asks other hosts as well.
 	startAlone = 250 * time.Millisecond
@@ -72,6 +76,10 @@
 	// nanoseconds; zero is never. failing is set while the last call has no answer.
 	heardAt atomic.Int64
 	failing atomic.Bool
+	// delegated reports whether another host reads the store for this one;
+	// resume is signalled when that ends. Nil is never.
+	delegated func() bool
+	resume    chan struct{}
 	// listNext is set when the next call has to read everything.
 	listNext bool
 }
@@ -100,6 +108,7 @@
 
 // read makes one call that waits for news, after a full read where that is due.
 func (f *feed) read(ctx context.Context) error {
+	f.rest(ctx)
 	select {
 	case <-f.again:
 		f.listNext = true
@@ -110,10 +119,32 @@
 			return err
 		}
 		f.listNext = false
+		return nil
 	}
 	return f.watch(ctx)
 }
 
+// rest waits while another host reads the store for this one, unless a full read is asked for.
+func (f *feed) rest(ctx context.Context) {
+	for f.delegated != nil && f.delegated() && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-f.resume:
+		case <-f.again:
+			f.listNext = true
+			return
+		}
+	}
+}
+
+// resumed ends a rest.
+func (f *feed) resumed() {
+	select {
+	case f.resume <- struct{}{}:
+	default:
+	}
+}
+
 // answered notes an answer of the store.
 func (f *feed) answered() {
 	f.heardAt.Store(int64(max(f.since(), 1)))
--- a/internal/dsrhost/host.go
+++ b/internal/dsrhost/host.go
@@ -87,7 +87,7 @@
 	h.translator = &translator{layout: p.Layout, log: logging.ForPart(p.Logger, "directory"), stats: h.stats}
 	h.feed = &feed{
 		store: p.Store, translator: h.translator, replica: h.replica, log: h.translator.log,
-		pause: p.Settings.ApplyWithin / watchPauseParts, since: h.since, out: h.events, again: h.again, stats: h.stats,
+		pause: p.Settings.ApplyWithin / watchPauseParts, since: h.since, out: h.events, again: h.again, resume: make(chan struct{}, 1), stats: h.stats,
 	}
 	if err := h.listen(ctx); err != nil {
 		h.closeListeners()
@@ -111,12 +111,14 @@
 	}
 	if s.Control.IsValid() {
 		h.peer, err = dsrpeer.Listen(dsrpeer.Settings{
-			Control: s.Control, Contacts: s.Contacts, Replica: h.replica, Needed: h.feed.needsPeers, Heard: h.feed.heard,
-			Take: h.takeFromPeer, Log: logging.ForPart(h.parts.Logger, "peer"), Now: h.since,
+			Control: s.Control, Zone: s.Zone, Contacts: s.Contacts, Replica: h.replica,
+			Delegate: s.ApplyWithin >= delegateWithin, Needed: h.feed.needsPeers, Heard: h.feed.heard,
+			Lost: h.feed.failing.Load, Resume: h.feed.resumed, Take: h.takeFromPeer, Log: logging.ForPart(h.parts.Logger, "peer"), Now: h.since,
 		})
 		if err != nil {
 			return err
 		}
+		h.feed.delegated = h.peer.Delegated
 	}
 	h.sockets, err = netio.Listen(ctx, s.Data, netio.Options{Readers: 1, Batch: 1})
 	return err
--- a/internal/dsrpeer/message.go
+++ b/internal/dsrpeer/message.go
@@ -29,20 +29,30 @@
 
 // hello is the first message of the host that dials.
 type hello struct {
-	_ struct{} `cbor:",toarray"`
-	// Control is the control address of the sender.
-	Control string
+	_    struct{} `cbor:",toarray"`
+	Self contact
 	// Follow asks for the directory and its updates.
 	Follow bool
 }
 
+// contact is a host as messages name it.
+type contact struct {
+	_ struct{} `cbor:",toarray"`
+	// Control is the control address.
+	Control string
+	Zone    string
+}
+
 // news is what the host that was dialled sends.
 type news struct {
 	_ struct{} `cbor:",toarray"`
-	// Peers are control addresses of hosts.
-	Peers []string
+	// Self is the sender; only the first message names it and the hosts that it knows.
+	Self  contact
+	Peers []contact
 	// HeardMs is how long ago the store answered the sender, in milliseconds; negative is never.
 	HeardMs int64
+	// Lost is set while the store does not answer the sender.
+	Lost bool
 	// Full and At are as in replica.Update; At zero carries no update.
 	Full  bool
 	At    uint64
@@ -86,8 +96,8 @@
 	if err := messages.Unmarshal(b, &h); err != nil {
 		return h, eris.Wrap(err, "hello can't be read")
 	}
-	if _, err := netip.ParseAddrPort(h.Control); err != nil {
-		return h, eris.Errorf("hello names the control address %q", h.Control)
+	if _, err := netip.ParseAddrPort(h.Self.Control); err != nil {
+		return h, eris.Errorf("hello names the control address %q", h.Self.Control)
 	}
 	return h, nil
 }
--- a/internal/dsrpeer/peer.go
+++ b/internal/dsrpeer/peer.go
@@ -26,12 +26,18 @@
 	dialTimeout  = 400 * time.Millisecond
 	writeTimeout = time.Second
 	// newsInterval is the longest time between two messages to a follower.
-	newsInterval = time.Second
-	// silenceTimeout ends a link on which nothing came.
-	silenceTimeout = 2500 * time.Millisecond
+	newsInterval = 400 * time.Millisecond
+	// silenceTimeout ends a link on which nothing came: three intervals.
+	silenceTimeout = 1200 * time.Millisecond
 	// helloInterval is the time between two hellos to a random host, helloRetry that until the first one was answered.
-	helloInterval = 15 * time.Second
+	helloInterval = 25 * time.Second
 	helloRetry    = 500 * time.Millisecond
+	// helloSecond is the time from the first hello to the second, when those that started at the same time are known.
+	helloSecond = 1500 * time.Millisecond
+	// watcherAge is how long ago the store may have answered a host that reads it for others: a watch, its timeout and a pause.
+	watcherAge = 4 * time.Second
+	// watcherRetry is the pause after none of the hosts that should read the store could be followed.
+	watcherRetry = 2 * time.Second
 	// followRetry is the pause after all known hosts were asked in vain.
 	followRetry = 300 * time.Millisecond
 	// checkInterval is how often a host looks whether it needs the directory from others.
@@ -44,12 +50,19 @@
 // Settings are fixed for the life of a Peer but for the contacts.
 type Settings struct {
 	Control  netip.AddrPort
+	Zone     string
 	Contacts []netip.AddrPort
 	Replica  *replica.Replica
+	// Delegate lets some hosts of a zone read the store for the others.
+	Delegate bool
 	// Needed reports whether the store leaves this host without answers.
 	Needed func() bool
 	// Heard returns how long ago the store answered this host; negative is never.
 	Heard func() time.Duration
+	// Lost reports whether the last call of the store has no answer.
+	Lost func() bool
+	// Resume is called when the host has to read the store itself again.
+	Resume func()
 	// Take hands over an update of another host and how long ago the store answered that host.
 	Take func(ctx context.Context, u replica.Update, heard time.Duration)
 	Log  logging.Part
@@ -69,16 +82,20 @@
 	book      *book
 	listener  net.Listener
 	followers atomic.Int32
+	delegated atomic.Bool
 	Stats     Stats
 }
 
+// Delegated reports whether another host reads the store for this one.
+func (p *Peer) Delegated() bool { return p.delegated.Load() }
+
 // Listen opens the control address.
 func Listen(s Settings) (*Peer, error) {
 	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(s.Control))
 	if err != nil {
 		return nil, eris.Wrap(err, "control address can't be listened on")
 	}
-	return &Peer{settings: s, book: newBook(s.Control, s.Contacts), listener: l}, nil
+	return &Peer{settings: s, book: newBook(s.Control, s.Zone, s.Contacts), listener: l}, nil
 }
 
 // SetContacts replaces the contacts after a change of the settings.
@@ -127,11 +144,12 @@
 		p.settings.Log.Warn("hello refused", zap.Error(err))
 		return
 	}
-	control, _ := netip.ParseAddrPort(h.Control)
-	p.book.add(p.settings.Now(), control)
+	// decodeHello checked the address.
+	control, _ := netip.ParseAddrPort(h.Self.Control)
+	p.book.add(p.settings.Now(), control, h.Self.Zone)
 	if !h.Follow {
 		// A failed write leaves the other host to ask elsewhere.
-		_ = p.send(r.Context(), ws, &news{Peers: p.book.names(p.settings.Now())})
+		_ = p.send(r.Context(), ws, &news{Self: p.self(), Peers: p.book.names(p.settings.Now())})
 		return
 	}
 	p.serveFollower(ws.CloseRead(r.Context()), ws, control)
@@ -142,7 +160,7 @@
 	defer p.settings.Replica.Unsubscribe(updates)
 	p.settings.Log.Info("host follows this one", zap.Stringer("host", to), zap.Uint64("revision", uint64(snapshot.At)))
 	first := newsOf(snapshot)
-	first.Peers = p.book.names(p.settings.Now())
+	first.Self, first.Peers = p.self(), p.book.names(p.settings.Now())
 	if p.send(ctx, ws, first) != nil {
 		return
 	}
@@ -167,34 +185,70 @@
 }
 
 func (p *Peer) send(ctx context.Context, ws *websocket.Conn, n *news) error {
-	n.HeardMs = p.settings.Heard().Milliseconds()
+	n.HeardMs, n.Lost = p.settings.Heard().Milliseconds(), p.settings.Lost()
 	p.Stats.Served.Add(1)
 	return write(ctx, ws, n)
 }
 
-// Run says hello to other hosts, and follows one while the store leaves this
-// host without answers, until the context ends.
+// Run says hello to other hosts, follows one while the store leaves this host
+// without answers, and lets another read the store for it, until the context ends.
 func (p *Peer) Run(ctx context.Context) {
-	next := time.Duration(0)
-	for ctx.Err() == nil {
+	var nextHello, nextWatcher time.Duration
+	for hellos := 0; ctx.Err() == nil; {
 		now := p.settings.Now()
 		switch {
 		case p.settings.Needed():
 			if !p.followAny(ctx) {
 				pause(ctx, followRetry)
 			}
-		case now >= next:
-			if p.helloAny(ctx) {
-				next = now + helloInterval
-			} else {
-				next = now + helloRetry
+		case now >= nextHello:
+			if !p.helloAny(ctx) {
+				nextHello = now + helloRetry
+				continue
+			}
+			nextHello = now + helloInterval
+			if hellos++; hellos == 1 {
+				nextHello = now + helloSecond
 			}
+		case p.settings.Delegate && hellos > 1 && now >= nextWatcher:
+			p.followWatcher(ctx, &nextHello)
+			nextWatcher = p.settings.Now() + watcherRetry
 		default:
 			pause(ctx, checkInterval)
 		}
 	}
 }
 
+// followWatcher follows a host that reads the store for this one, as long as
+// the store answers that host. The reader of this host rests meanwhile.
+func (p *Peer) followWatcher(ctx context.Context, nextHello *time.Duration) {
+	for _, host := range p.book.watchers(p.settings.Now()) {
+		n, ws, err := p.dial(ctx, host, true)
+		if err != nil {
+			p.Stats.Failed.Add(1)
+			p.book.forget(host)
+			continue
+		}
+		p.learn(host, n)
+		if !watches(n) || n.At == 0 {
+			ws.CloseNow()
+			continue
+		}
+		p.settings.Log.Info("another host reads the store for this one", zap.Stringer("host", host), zap.Uint64("revision", n.At), zap.Int64("heard_ms", n.HeardMs))
+		p.delegated.Store(true)
+		err = p.follow(ctx, ws, n, func(n *news) bool { return watches(n) && p.settings.Now() < *nextHello })
+		p.delegated.Store(false)
+		p.settings.Resume()
+		p.settings.Log.Info("reading the store again", zap.Stringer("host", host), zap.Error(err))
+		return
+	}
+}
+
+// watches reports whether the sender of news hears from the store itself.
+func watches(n *news) bool {
+	return !n.Lost && n.HeardMs >= 0 && time.Duration(n.HeardMs)*time.Millisecond <= watcherAge
+}
+
 // helloAny says hello to the first host that answers, a contact before others,
 // since all hosts meet there.
 func (p *Peer) helloAny(ctx context.Context) bool {
@@ -217,9 +271,11 @@
 
 func (p *Peer) learn(from netip.AddrPort, n *news) {
 	now := p.settings.Now()
-	p.book.add(now, from)
-	for _, text := range n.Peers {
-		p.book.hint(now, text)
+	for _, c := range n.Peers {
+		p.book.hint(now, c)
+	}
+	if n.Self.Control == from.String() {
+		p.book.add(now, from, n.Self.Zone)
 	}
 }
 
@@ -240,20 +296,20 @@
 			continue
 		}
 		p.settings.Log.Info("following another host", zap.Stringer("host", host), zap.Uint64("revision", n.At), zap.Int64("heard_ms", n.HeardMs))
-		err = p.follow(ctx, ws, n)
+		err = p.follow(ctx, ws, n, func(*news) bool { return p.settings.Needed() })
 		p.settings.Log.Info("no longer following", zap.Stringer("host", host), zap.Error(err))
 		return true
 	}
 	return false
 }
 
-// follow takes updates until the store answers again or the link ends.
-func (p *Peer) follow(ctx context.Context, ws *websocket.Conn, n *news) error {
+// follow takes updates as long as the condition holds for each, and until the link ends.
+func (p *Peer) follow(ctx context.Context, ws *websocket.Conn, n *news, while func(*news) bool) error {
 	defer ws.CloseNow()
 	for {
 		p.settings.Take(ctx, n.update(), time.Duration(n.HeardMs)*time.Millisecond)
 		p.Stats.Followed.Add(1)
-		if !p.settings.Needed() {
+		if !while(n) {
 			return nil
 		}
 		b, err := read(ctx, ws)
@@ -284,7 +340,7 @@
 }
 
 func (p *Peer) greet(ctx context.Context, ws *websocket.Conn, follow bool) (*news, error) {
-	if err := write(ctx, ws, &hello{Control: p.settings.Control.String(), Follow: follow}); err != nil {
+	if err := write(ctx, ws, &hello{Self: p.self(), Follow: follow}); err != nil {
 		return nil, err
 	}
 	b, err := read(ctx, ws)
@@ -294,6 +350,10 @@
 	return decodeNews(b)
 }
 
+func (p *Peer) self() contact {
+	return contact{Control: p.settings.Control.String(), Zone: p.settings.Zone}
+}
+
 func read(ctx context.Context, ws *websocket.Conn) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, silenceTimeout)
 	defer cancel()
--- a/internal/dsrpeer/peer_test.go
+++ b/internal/dsrpeer/peer_test.go
@@ -24,8 +24,12 @@
 	*Peer
 	replica *replica.Replica
 	needed  atomic.Bool
-	mu      sync.Mutex
-	heard   []time.Duration
+	lost    atomic.Bool
+	// heardAgo is what the host tells of the store's last answer, in nanoseconds.
+	heardAgo atomic.Int64
+	resumed  atomic.Int32
+	mu       sync.Mutex
+	heard    []time.Duration
 	// stop ends the host.
 	stop func()
 }
@@ -33,10 +37,13 @@
 // start runs a host on a free port until the test ends.
 func start(t *testing.T, contacts ...netip.AddrPort) *host {
 	h := &host{replica: replica.New()}
+	h.heardAgo.Store(int64(40 * time.Millisecond))
 	began := time.Now()
 	s := Settings{
 		Control: netip.MustParseAddrPort("127.0.0.1:0"), Contacts: contacts, Replica: h.replica,
-		Needed: h.needed.Load, Heard: func() time.Duration { return 40 * time.Millisecond },
+		Zone: "a", Delegate: true,
+		Needed: h.needed.Load, Heard: func() time.Duration { return time.Duration(h.heardAgo.Load()) },
+		Lost: h.lost.Load, Resume: func() { h.resumed.Add(1) },
 		Take: func(_ context.Context, u replica.Update, heard time.Duration) {
 			h.replica.Take(u)
 			h.mu.Lock()
@@ -104,27 +111,63 @@
 	require.Eventually(t, func() bool { return c.replica.At() == 9 }, 5*time.Second, 5*time.Millisecond)
 }
 
+// Of five hosts of a zone two read the store; the others follow them, and read
+// it themselves as soon as the store no longer answers the one they follow.
+func TestTwoHostsOfAZoneReadTheStoreForTheOthers(t *testing.T) {
+	contact := start(t)
+	hosts := []*host{contact}
+	for range 4 {
+		hosts = append(hosts, start(t, contact.settings.Control))
+	}
+	for _, h := range hosts {
+		h.replica.Take(replica.Update{Full: true, At: 3})
+	}
+	delegated := func() (n int) {
+		for _, h := range hosts {
+			if h.Delegated() {
+				n++
+			}
+		}
+		return n
+	}
+	require.Eventually(t, func() bool { return delegated() == 3 }, 15*time.Second, 10*time.Millisecond)
+	for _, h := range hosts {
+		h.lost.Store(!h.Delegated())
+	}
+	require.Eventually(t, func() bool { return delegated() == 0 }, 5*time.Second, 10*time.Millisecond)
+	for _, h := range hosts {
+		require.True(t, h.lost.Load() || h.resumed.Load() > 0)
+	}
+}
+
+func TestHostThatTheStoreDoesNotAnswerIsNoWatcher(t *testing.T) {
+	require.True(t, watches(&news{HeardMs: 100}))
+	require.False(t, watches(&news{HeardMs: -1}))
+	require.False(t, watches(&news{HeardMs: 100, Lost: true}))
+	require.False(t, watches(&news{HeardMs: watcherAge.Milliseconds() + 1}), "it follows another host itself, so two hosts can't rest on each other")
+}
+
 func TestBookForgetsTheOldestHost(t *testing.T) {
-	b := newBook(netip.MustParseAddrPort("10.0.0.1:1"), nil)
+	b := newBook(netip.MustParseAddrPort("10.0.0.1:1"), "a", nil)
 	at := func(n int) netip.AddrPort {
 		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), 1)
 	}
 	for n := range bookSize + 5 {
-		b.add(time.Duration(n)*time.Second, at(n))
+		b.add(time.Duration(n)*time.Second, at(n), "a")
 	}
 	known := b.list(time.Duration(bookSize) * time.Second)
 	require.Len(t, known, bookSize)
 	require.NotContains(t, known, at(4))
-	b.add(bookSize*time.Second, b.self)
+	b.add(bookSize*time.Second, b.self, "a")
 	require.NotContains(t, b.list(bookSize*time.Second), b.self)
 	require.Empty(t, b.list(10*bookAge))
 }
 
 func FuzzDecode(f *testing.F) {
-	seed, err := messages.Marshal(&news{Peers: []string{"10.0.0.1:1"}, Full: true, At: 4, Items: []item{{Key: "a", Revision: 3}}})
+	seed, err := messages.Marshal(&news{Peers: []contact{{Control: "10.0.0.1:1", Zone: "a"}}, Full: true, At: 4, Items: []item{{Key: "a", Revision: 3}}})
 	require.NoError(f, err)
 	f.Add(seed)
-	hi, err := messages.Marshal(&hello{Control: "10.0.0.1:1"})
+	hi, err := messages.Marshal(&hello{Self: contact{Control: "10.0.0.1:1"}})
 	require.NoError(f, err)
 	f.Add(hi)
 	f.Fuzz(func(t *testing.T, b []byte) {
@@ -134,7 +177,7 @@
 			}
 		}
 		if h, err := decodeHello(b); err == nil {
-			_, err := netip.ParseAddrPort(h.Control)
+			_, err := netip.ParseAddrPort(h.Self.Control)
 			require.NoError(t, err)
 		}
 	})
