--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -246,8 +246,8 @@
 	reason := ReasonPlaced
 	if f != nil {
 		f.copies++
-		if u := f.upstream; u.usable() && !u.doubtful(now) || f.phase == phaseOpening || u.reachedAt > f.openedAt {
-			return c.forward(u, ReasonCopy)
+		if c.copyFollows(now, f) {
+			return c.forward(f.upstream, ReasonCopy)
 		}
 		reason = ReasonMoved
 	}
@@ -270,6 +270,20 @@
 	return c.forward(choice.upstream, reason)
 }
 
+// copyFollows reports whether a copy of the first packet goes where the first
+// one went: two upstreams that answer leave a caller with the token of the later one.
+func (c *Core) copyFollows(now time.Duration, f *flow) bool {
+	u := f.upstream
+	switch {
+	case u.gone:
+		return false
+	case f.phase == phaseOpening || u.reachedAt > f.openedAt:
+		return true
+	default:
+		return u.usable() && !u.doubtful(now)
+	}
+}
+
 func (c *Core) noteOpening(event string, now time.Duration, p *Packet, r *route, ch choice, why Reason) {
 	rec := Record{
 		Event: event, Caller: p.Caller, Address: p.Service, Service: ch.service, Why: reasonNames[why], Version: c.version,
--- a/internal/dsr/core_test.go
+++ b/internal/dsr/core_test.go
@@ -358,8 +358,11 @@
 	f := newFixture(t)
 	first := f.opened(streamPort)
 	second := f.openedBeside(first, streamPort)
+	u := f.upstream(first)
 	f.fallSilent(first)
 	require.Equal(t, Reset, second.request().Action)
+	require.True(t, u.doubtful(f.now), "new flows go elsewhere")
+	require.GreaterOrEqual(t, u.doubt.step, doubtMin)
 }
 
 // fallSilent lets the flow's upstream go silent until the flow is reset.
@@ -535,6 +538,21 @@
 	require.NotEqual(t, to, c.last.To)
 }
 
+func TestCopyLeavesAnUpstreamThatIsGone(t *testing.T) {
+	f := newFixture(t)
+	c := f.caller(orderPort)
+	c.open()
+	u := f.upstream(c)
+	draining := u.Upstream
+	draining.Draining = true
+	f.write(draining)
+	f.lapse(u.Key)
+	f.wait(20 * time.Millisecond)
+	c.again(1)
+	require.Equal(t, ReasonMoved, c.last.Reason)
+	require.NotEqual(t, u.Addr, c.last.To)
+}
+
 // Random packets and changes never make the counts of open work wrong.
 func TestPropertyCountsMatchTheFlows(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -113,6 +113,7 @@
 	if f.repeats >= silentRepeats && now-max(f.progressAt, f.judgedAt) >= silentFor && now-u.reachedAt >= silentFor {
 		if !u.silent {
 			u.silent = true
+			u.doubt.raise(now, f.progressAt)
 			c.note(Record{Event: "upstream is silent", Caller: f.key.caller, Upstream: u.Key, Service: u.Service, Age: now - u.reachedAt})
 		}
 		return true
