--- a/internal/dsr/bench_test.go
+++ b/internal/dsr/bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
@@ -64,12 +66,7 @@
 // BenchmarkDirectory measures a core with many upstreams: the full read, and one changed registration.
 func BenchmarkDirectory(b *testing.B) {
 	for _, size := range []int{150, 1500, 15000, 91000} {
-		full := &directory.Change{Full: true, At: 10, Configuration: configuration(1)}
-		for n := range size {
-			u := upstreamOf(n, fmt.Sprintf("service-%d", n/3), string("abcd"[n%4]))
-			u.ID, u.Revision = uint64(n+1), 10
-			full.Upstreams = append(full.Upstreams, u)
-		}
+		full := fullDirectory(size)
 		b.Run(fmt.Sprintf("full/%d", size), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
@@ -92,3 +89,81 @@
 		})
 	}
 }
+
+// BenchmarkMemory measures the live memory of a core, for each upstream and each flow.
+func BenchmarkMemory(b *testing.B) {
+	for _, size := range []int{1500, 15000, 91000} {
+		b.Run(fmt.Sprintf("upstreams/%d", size), func(b *testing.B) {
+			for b.Loop() {
+				before := liveBytes()
+				c := New("a", testFormat{})
+				c.Apply(time.Second, fullDirectory(size))
+				c.TakeRecords()
+				c.records = nil
+				b.ReportMetric(float64(liveBytes()-before)/float64(size), "bytes/upstream")
+				require.True(b, c.Ready())
+			}
+		})
+	}
+	for _, count := range []int{1000, 8000, 32000} {
+		b.Run(fmt.Sprintf("flows/%d", count), func(b *testing.B) {
+			for b.Loop() {
+				f := newFixture(&testing.T{})
+				before := liveBytes()
+				token := f.opened(streamPort).token
+				for n := range count {
+					key := flowKey{netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(n >> 8), byte(n)}), 1), netip.AddrPort{}}
+					fl := f.core.cache.add(f.now, key)
+					fl.upstream = f.core.tokens[token]
+					f.core.cache.enter(f.now, fl, phaseIdle)
+				}
+				b.ReportMetric(float64(liveBytes()-before)/float64(count), "bytes/flow")
+				require.Equal(b, count+1, f.core.Flows())
+			}
+		})
+	}
+}
+
+func liveBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// fullDirectory returns a full read of upstreams in services of three.
+func fullDirectory(size int) *directory.Change {
+	full := &directory.Change{Full: true, At: 10, Configuration: configuration(1)}
+	for n := range size {
+		u := upstreamOf(n, fmt.Sprintf("service-%d", n/3), string("abcd"[n%4]))
+		u.ID, u.Revision = uint64(n+1), 10
+		full.Upstreams = append(full.Upstreams, u)
+	}
+	return full
+}
+
+// BenchmarkReplacement measures an upstream that leaves after draining and its successor.
+func BenchmarkReplacement(b *testing.B) {
+	for _, size := range []int{150, 15000, 91000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			c := New("a", testFormat{})
+			full := fullDirectory(size)
+			c.Apply(time.Second, full)
+			now, revision, one := time.Second, full.At, full.Upstreams[size/2]
+			b.ReportAllocs()
+			for b.Loop() {
+				now += time.Minute
+				one.Draining, one.Revision = true, revision+1
+				c.Apply(now, &directory.Change{At: revision + 1, Upstreams: []directory.Upstream{one}})
+				c.Apply(now, &directory.Change{At: revision + 2, Removed: []directory.Removal{{Key: one.Key, Revision: revision + 2}}})
+				one.Draining, one.Revision = false, revision+3
+				one.Incarnation++
+				c.Apply(now, &directory.Change{At: revision + 3, Upstreams: []directory.Upstream{one}})
+				revision += 3
+				c.settle(now)
+				c.TakeRecords()
+			}
+		})
+	}
+}
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -20,47 +20,6 @@
 	maxUnknown = 1024
 )
 
-// Record is one decision for the log.
-type Record struct {
-	// Event is the short sentence of the log line.
-	Event           string
-	Caller, Address netip.AddrPort
-	Upstream        string
-	To              netip.AddrPort
-	Service         string
-	Token           Token
-	Action          Action
-	Why             string
-	// Revision is the revision of the store that the decision rests on, Version that of the configuration.
-	Revision, Version uint64
-	// Age is the age of what decided it, Until how long it holds.
-	Age, Until time.Duration
-	// Considered and Doubtful count upstreams, Open is the open work of the chosen one.
-	Considered, Doubtful, Open int
-}
-
-// Routine reports whether the record tells of ordinary work, not of a change or a refusal.
-func (r *Record) Routine() bool { return r.Action == Forward }
-
-// SampleKind is the kind of a sample.
-type SampleKind uint8
-
-// The kinds of samples.
-const (
-	// SampleHandshake is the time from a first packet to the completed handshake.
-	SampleHandshake SampleKind = iota
-	// SampleAnswer is the time from a request to its answer.
-	SampleAnswer
-	// SampleUnfinished is a handshake that was not completed in time.
-	SampleUnfinished
-)
-
-// Sample is a measured time.
-type Sample struct {
-	Kind     SampleKind
-	Duration time.Duration
-}
-
 // route is a route of the configuration in force.
 type route struct {
 	directory.Route
@@ -78,8 +37,6 @@
 	services map[string]*service
 	zones    map[string]*zone
 	strain   strain
-	// reindex is set when services and tokens have to be built anew.
-	reindex bool
 	// pending holds upstreams whose registration lapsed, goneList those that are gone, both in the order of time.
 	pending, goneList []*upstream
 
@@ -136,22 +93,6 @@
 // Flows returns the number of flows in the cache.
 func (c *Core) Flows() int { return len(c.cache.flows) }
 
-// TakeRecords returns the records since the last call. They are valid until the next call of the core.
-func (c *Core) TakeRecords() []Record {
-	r := c.records
-	c.records = c.records[:0]
-	return r
-}
-
-// TakeSamples returns the samples since the last call. They are valid until the next call of the core.
-func (c *Core) TakeSamples() []Sample {
-	s := c.samples
-	c.samples = c.samples[:0]
-	return s
-}
-
-func (c *Core) note(r Record) { c.records = append(c.records, r) }
-
 // StoreAnswered notes an answer of the store.
 func (c *Core) StoreAnswered(now time.Duration) {
 	c.heardAt = now
@@ -218,11 +159,11 @@
 func (c *Core) advance(now time.Duration) {
 	c.settle(now)
 	timeout := c.strain.timeout()
-	for f := c.cache.opening.head; f != nil && now-f.openedAt > timeout; f = c.cache.opening.head {
+	for f := c.cache.opening.First(); f != nil && now-f.openedAt > timeout; f = c.cache.opening.First() {
 		c.cache.enter(now, f, phaseOverdue)
 		c.unanswered(now, f)
 	}
-	for f := c.cache.busy.head; f != nil && now-f.busyAt > busyLimit; f = c.cache.busy.head {
+	for f := c.cache.busy.First(); f != nil && now-f.busyAt > busyLimit; f = c.cache.busy.First() {
 		c.cache.enter(now, f, phaseIdle)
 	}
 	c.cache.expire(now)
--- a/internal/dsr/core_test.go
+++ b/internal/dsr/core_test.go
@@ -581,18 +581,52 @@
 				c.send(4|2, 0, 0)
 			case 7:
 				u := upstreamOf(rapid.IntRange(1, 6).Draw(rt, "upstream"), "orders", "a")
-				if rapid.Bool().Draw(rt, "lapse") {
+				switch rapid.IntRange(0, 3).Draw(rt, "change") {
+				case 0:
 					f.lapse(u.Key)
-				} else {
+				case 1:
 					u.Incarnation += int64(rapid.IntRange(0, 1).Draw(rt, "restart"))
 					f.write(u)
+				case 2:
+					// An upstream with the token of another one.
+					twin := upstreamOf(1, "orders", "b")
+					u.ID, u.Incarnation = twin.ID, twin.Incarnation
+					f.write(u)
+				case 3:
+					u.Draining = true
+					f.write(u)
+					f.lapse(u.Key)
 				}
 			}
 			f.checkCounts(rt)
+			f.checkIndex(rt)
 		}
 	})
 }
 
+// checkIndex compares services and tokens with the live upstreams.
+func (f *fixture) checkIndex(t *rapid.T) {
+	owners := make(map[Token]*upstream)
+	count := make(map[Token]int)
+	for _, u := range f.core.byKey {
+		require.False(t, u.gone)
+		require.Contains(t, f.core.services[u.Service].upstreams, u)
+		count[u.token]++
+		if o := owners[u.token]; o == nil || u.before(o) {
+			owners[u.token] = u
+		}
+	}
+	total := 0
+	for _, s := range f.core.services {
+		total += len(s.upstreams)
+	}
+	require.Equal(t, len(f.core.byKey), total)
+	for _, u := range f.core.byKey {
+		require.Equal(t, count[u.token] > 1, u.shared, u.Key)
+		require.Same(t, owners[u.token], f.core.tokens[u.token])
+	}
+}
+
 func (f *fixture) checkCounts(t *rapid.T) {
 	type counts struct{ opening, busy, flows int }
 	want := make(map[*upstream]counts)
@@ -612,5 +646,5 @@
 	for _, u := range f.core.tokens {
 		require.Equal(t, want[u], counts{u.opening, u.busy, u.flows}, u.Key)
 	}
-	require.Equal(t, len(f.core.cache.flows), f.core.cache.used.length)
+	require.Equal(t, len(f.core.cache.flows), f.core.cache.used.Len())
 }
--- a/internal/dsr/flows.go
+++ b/internal/dsr/flows.go
@@ -3,10 +3,12 @@
 import (
 	"net/netip"
 	"time"
+
+	"mimosashore.example/mimosashore/internal/list"
 )
 
 const (
-	// maxFlows bounds the cache of flows. The target size has 8,000 flows a host; 32,768 take about 5 MB.
+	// maxFlows bounds the cache of flows. The target size has 8,000 flows a host; 32,768 take 13 MB.
 	maxFlows = 32768
 	// flowIdle is how long the cache keeps a flow without packets: the longest life of a flow on the platform.
 	flowIdle = 60 * time.Second
@@ -58,96 +60,52 @@
 	// pending is set while a request has no answer, also when it no longer counts as work under way.
 	pending bool
 
-	recent, waiting links
-}
-
-// links are the neighbours of a flow in a list.
-type links struct {
-	prev, next *flow
-	listed     bool
-}
-
-// list is a list of flows in the order of a time, threaded through the flows.
-type list struct {
-	of         func(*flow) *links
-	head, tail *flow
-	length     int
-}
-
-func (l *list) push(f *flow) {
-	n := l.of(f)
-	*n = links{prev: l.tail, listed: true}
-	if l.tail != nil {
-		l.of(l.tail).next = f
-	} else {
-		l.head = f
-	}
-	l.tail = f
-	l.length++
+	recent, waiting list.Links[flow]
+	// spare is the next unused flow.
+	spare *flow
 }
 
-func (l *list) remove(f *flow) {
-	n := l.of(f)
-	if !n.listed {
-		return
-	}
-	if n.prev != nil {
-		l.of(n.prev).next = n.next
-	} else {
-		l.head = n.next
-	}
-	if n.next != nil {
-		l.of(n.next).prev = n.prev
-	} else {
-		l.tail = n.prev
-	}
-	*n = links{}
-	l.length--
-}
-
-func byUse(f *flow) *links  { return &f.recent }
-func byWait(f *flow) *links { return &f.waiting }
-
 // flowCache holds the flows seen of late.
 type flowCache struct {
 	flows map[flowKey]*flow
 	// used is in the order of the last packet, opening in that of the first
 	// packet, busy in that of the request.
-	used, opening, busy list
+	used, opening, busy list.List[flow]
 	free                *flow
 }
 
 func newFlowCache() flowCache {
+	waiting := func(f *flow) *list.Links[flow] { return &f.waiting }
 	return flowCache{
 		flows:   make(map[flowKey]*flow),
-		used:    list{of: byUse},
-		opening: list{of: byWait},
-		busy:    list{of: byWait},
+		used:    list.New(func(f *flow) *list.Links[flow] { return &f.recent }),
+		opening: list.New(waiting),
+		busy:    list.New(waiting),
 	}
 }
 
 // add returns a new flow under the key, which must be free.
 func (c *flowCache) add(now time.Duration, key flowKey) *flow {
 	if len(c.flows) >= maxFlows {
-		c.drop(c.used.head)
+		c.drop(c.used.First())
 	}
 	f := c.free
 	if f != nil {
-		c.free = f.recent.next
+		c.free = f.spare
 	} else {
 		f = new(flow)
 	}
 	*f = flow{key: key, seenAt: now, progressAt: now}
 	c.flows[key] = f
-	c.used.push(f)
+	c.used.Push(f)
 	return f
 }
 
 // touch moves the flow to the end of the order of use.
 func (c *flowCache) touch(now time.Duration, f *flow) {
 	f.seenAt = now
-	c.used.remove(f)
-	c.used.push(f)
+	c.used.Remove(f)
+	c.used.Push(f)
 }
 
 // enter moves a flow into a phase and keeps the counts of its upstream.
@@ -155,13 +113,13 @@
 	u := f.upstream
 	switch f.phase {
 	case phaseOpening:
-		if f.waiting.listed {
-			c.opening.remove(f)
+		if f.waiting.Listed() {
+			c.opening.Remove(f)
 			u.opening--
 			u.zone.opening--
 		}
 	case phaseBusy:
-		c.busy.remove(f)
+		c.busy.Remove(f)
 		u.busy--
 		u.flows--
 	case phaseIdle:
@@ -171,12 +129,12 @@
 	switch to {
 	case phaseOpening:
 		f.openedAt = now
-		c.opening.push(f)
+		c.opening.Push(f)
 		u.opening++
 		u.zone.opening++
 	case phaseBusy:
 		f.busyAt = now
-		c.busy.push(f)
+		c.busy.Push(f)
 		u.busy++
 		u.flows++
 	case phaseIdle:
@@ -187,16 +145,16 @@
 // drop forgets a flow.
 func (c *flowCache) drop(f *flow) {
 	c.enter(f.seenAt, f, phaseClosed)
-	c.used.remove(f)
+	c.used.Remove(f)
 	delete(c.flows, f.key)
 	*f = flow{}
-	f.recent.next = c.free
+	f.spare = c.free
 	c.free = f
 }
 
 // expire forgets flows without packets for flowIdle.
 func (c *flowCache) expire(now time.Duration) {
-	for f := c.used.head; f != nil && now-f.seenAt > flowIdle; f = c.used.head {
+	for f := c.used.First(); f != nil && now-f.seenAt > flowIdle; f = c.used.First() {
 		c.drop(f)
 	}
 }
--- /dev/null
+++ b/internal/dsrhost/decide_test.go
@@ -0,0 +1,54 @@
+package dsrhost
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mimosashore.example/mimosashore/internal/dsr"
+	"mimosashore.example/mimosashore/internal/logging"
+	"mimosashore.example/mimosashore/internal/settings"
+)
+
+func TestRecordHasConstantFields(t *testing.T) {
+	var out bytes.Buffer
+	logger, err := logging.New(settings.Log{Level: "info", Format: settings.FormatJSON}, &out)
+	require.NoError(t, err)
+	newRecordLog(logger, logging.NewBounded(&out)).write([]dsr.Record{{
+		Event: "flow opened", Caller: netip.MustParseAddrPort("100.64.0.7:1025"), Address: netip.MustParseAddrPort("198.18.0.1:443"), Upstream: "up/a",
+		To: netip.MustParseAddrPort("10.0.0.1:80"), Service: "orders", Token: 7, Action: dsr.Forward, Why: "placed", Revision: 8, Version: 9,
+		Age: 20 * time.Millisecond, Until: 500 * time.Millisecond, Considered: 14, Doubtful: 1, Open: 2,
+	}})
+	var line map[string]any
+	require.NoError(t, json.Unmarshal(out.Bytes(), &line))
+	delete(line, "time")
+	require.Equal(t, map[string]any{
+		"level": "info", "msg": "core: flow opened", "caller": "100.64.0.7:1025", "address": "198.18.0.1:443", "upstream": "up/a", "to": "10.0.0.1:80",
+		"service": "orders", "token": 7.0, "why": "placed", "revision": 8.0, "version": 9.0, "age_ms": 20.0, "for_ms": 500.0, "considered": 14.0,
+		"doubtful": 1.0, "open": 2.0,
+	}, line)
+}
+
+func TestRefusalsAreWrittenWhenRoutineLinesAreNot(t *testing.T) {
+	var out bytes.Buffer
+	logger, err := logging.New(settings.Log{Level: "info", Format: settings.FormatJSON}, &out)
+	require.NoError(t, err)
+	lines := logging.NewBounded(&out)
+	log := newRecordLog(logger, lines)
+	written := -1
+	for range 100_000 {
+		if written == out.Len() {
+			break
+		}
+		written = out.Len()
+		log.write([]dsr.Record{{Event: "flow opened", Action: dsr.Forward}})
+	}
+	require.Equal(t, written, out.Len(), "routine lines are bounded")
+	require.Positive(t, lines.LeftOut.Load())
+	log.write([]dsr.Record{{Event: "flow reset", Action: dsr.Reset}})
+	require.Contains(t, out.String(), "flow reset")
+}
--- a/internal/dsrhost/host.go
+++ b/internal/dsrhost/host.go
@@ -165,7 +165,7 @@
 func (h *Host) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	h.log.Info("started", zap.String("name", h.settings.Name), zap.String("zone", h.settings.Zone), zap.Stringer("data", h.settings.Data), zap.Stringer("store", h.settings.Store))
+	h.log.Info("started", zap.Duration("stop_timeout", h.settings.StopTimeout), zap.Duration("apply_within", h.settings.ApplyWithin), zap.String("name", h.settings.Name), zap.String("zone", h.settings.Zone), zap.Stringer("data", h.settings.Data), zap.Stringer("store", h.settings.Store))
 	failures := make(chan error, 4)
 	var duties sync.WaitGroup
 	duties.Go(func() { h.feed.run(ctx) })
--- a/internal/hostcore/core.go
+++ b/internal/hostcore/core.go
@@ -13,6 +13,7 @@
 
 	"mimosashore.example/mimosashore/internal/admission"
 	"mimosashore.example/mimosashore/internal/ids"
+	"mimosashore.example/mimosashore/internal/list"
 	"mimosashore.example/mimosashore/internal/placement"
 	"mimosashore.example/mimosashore/internal/table"
 	"mimosashore.example/mimosashore/internal/wire"
@@ -89,7 +90,7 @@
 	order []ids.ServiceID
 	flows flowTable
 	// requests holds the requests under way, the oldest first.
-	requests     list[request]
+	requests     list.List[request]
 	tickets      map[placement.Ticket]*request
 	nextTicket   placement.Ticket
 	incarnations map[ids.UpstreamID]uint64
@@ -110,7 +111,7 @@
 		self:         s.Self,
 		services:     make(map[ids.ServiceID]*service),
 		flows:        newFlowTable(s.MaxFlows),
-		requests:     list[request]{linksOf: func(r *request) *links[request] { return &r.underWay }},
+		requests:     list.New(func(r *request) *list.Links[request] { return &r.underWay }),
 		tickets:      make(map[placement.Ticket]*request),
 		incarnations: make(map[ids.UpstreamID]uint64),
 		admission:    admission.New(s.Seed, s.HostRate),
--- a/internal/hostcore/counters.go
+++ b/internal/hostcore/counters.go
@@ -34,5 +34,5 @@
 
 // Load returns the amount of state at present.
 func (c *Core) Load() Load {
-	return Load{Flows: c.flows.length(), Requests: c.requests.length, BodyBytes: c.bodyBytes}
+	return Load{Flows: c.flows.length(), Requests: c.requests.Len(), BodyBytes: c.bodyBytes}
 }
--- a/internal/hostcore/flows.go
+++ b/internal/hostcore/flows.go
@@ -5,6 +5,7 @@
 
 	"mimosashore.example/mimosashore/internal/flowid"
 	"mimosashore.example/mimosashore/internal/ids"
+	"mimosashore.example/mimosashore/internal/list"
 )
 
 const (
@@ -40,8 +41,8 @@
 	live     *request
 	lastUsed time.Duration
 	// inQueue links the flow in its queue, which is ordered by last use.
-	inQueue links[flow]
-	queue   *list[flow]
+	inQueue list.Links[flow]
+	queue   *list.List[flow]
 }
 
 // open tells whether the flow takes new requests.
@@ -55,8 +56,8 @@
 	max   int
 	byKey map[flowKey]*flow
 	// unused flows have seen no request: to drop one loses no knowledge.
-	unused list[flow]
-	active list[flow]
+	unused list.List[flow]
+	active list.List[flow]
 	// lossUntil is the time until which a flow without state may have had
 	// requests, because one was dropped before it was idle for flowIdleTime.
 	lossUntil time.Duration
@@ -67,12 +68,12 @@
 	if limit <= 0 {
 		limit = defaultMaxFlows
 	}
-	linksOf := func(f *flow) *links[flow] { return &f.inQueue }
+	linksOf := func(f *flow) *list.Links[flow] { return &f.inQueue }
 	return flowTable{
 		max:    limit,
 		byKey:  make(map[flowKey]*flow),
-		unused: list[flow]{linksOf: linksOf},
-		active: list[flow]{linksOf: linksOf},
+		unused: list.New(linksOf),
+		active: list.New(linksOf),
 	}
 }
 
@@ -96,15 +97,15 @@
 }
 
 // enqueue adds a flow to a queue as the last one used.
-func (t *flowTable) enqueue(q *list[flow], f *flow) {
+func (t *flowTable) enqueue(q *list.List[flow], f *flow) {
 	f.queue = q
-	q.push(f)
+	q.Push(f)
 }
 
 // touch notes that the flow was used.
 func (t *flowTable) touch(now time.Duration, f *flow) {
 	f.lastUsed = now
-	f.queue.remove(f)
+	f.queue.Remove(f)
 	if f.used() {
 		t.enqueue(&t.active, f)
 	} else {
@@ -113,7 +114,7 @@
 }
 
 func (t *flowTable) remove(f *flow) {
-	f.queue.remove(f)
+	f.queue.Remove(f)
 	if t.byKey[f.key] == f {
 		delete(t.byKey, f.key)
 	}
@@ -122,10 +123,10 @@
 // victim returns a flow to drop when the table is full, or nil. An idle flow
 // without requests goes first; one with requests under way never goes.
 func (t *flowTable) victim() *flow {
-	if t.unused.first != nil {
-		return t.unused.first
+	if t.unused.First() != nil {
+		return t.unused.First()
 	}
-	for f := t.active.first; f != nil; f = f.inQueue.next {
+	for f := t.active.First(); f != nil; f = f.inQueue.Next() {
 		if f.live == nil {
 			return f
 		}
@@ -135,7 +136,7 @@
 
 // idle returns the next flow that was idle for long enough, or nil.
 func (t *flowTable) idle(now time.Duration) *flow {
-	for _, f := range [...]*flow{t.unused.first, t.active.first} {
+	for _, f := range [...]*flow{t.unused.First(), t.active.First()} {
 		if f != nil && f.live == nil && now-f.lastUsed >= flowIdleTime {
 			return f
 		}
@@ -144,7 +145,7 @@
 }
 
 // length returns the number of flows with state.
-func (t *flowTable) length() int { return t.unused.length + t.active.length }
+func (t *flowTable) length() int { return t.unused.Len() + t.active.Len() }
 
 // evictIdle drops flows that were idle for flowIdleTime.
 func (c *Core) evictIdle(now time.Duration) {
--- a/internal/hostcore/forwarding.go
+++ b/internal/hostcore/forwarding.go
@@ -157,7 +157,7 @@
 
 // resendDue sends again what was not acknowledged in time.
 func (c *Core) resendDue(now time.Duration, out *Effects) {
-	for r := c.requests.first; r != nil; r = r.underWay.next {
+	for r := c.requests.First(); r != nil; r = r.underWay.Next() {
 		a := &r.attempt
 		if a.resend == 0 || now-a.sentAt < a.resend {
 			continue
--- a/internal/hostcore/requests.go
+++ b/internal/hostcore/requests.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mimosashore.example/mimosashore/internal/ids"
+	"mimosashore.example/mimosashore/internal/list"
 	"mimosashore.example/mimosashore/internal/member"
 	"mimosashore.example/mimosashore/internal/placement"
 	"mimosashore.example/mimosashore/internal/reassembly"
@@ -65,14 +66,14 @@
 
 	nextInFlow *request
 	// underWay links the requests of the core.
-	underWay links[request]
+	underWay list.Links[request]
 }
 
 // each visits the requests under way, the oldest first. A visit may end any of them.
 func (c *Core) each(visit func(r *request)) {
 	all := c.scratch[:0]
 	c.scratch = nil
-	for r := c.requests.first; r != nil; r = r.underWay.next {
+	for r := c.requests.First(); r != nil; r = r.underWay.Next() {
 		all = append(all, r)
 	}
 	for _, r := range all {
@@ -210,7 +211,7 @@
 	c.bodyBytes += int(body.Size())
 	s.bodyBytes += int(body.Size())
 	r.nextInFlow, f.live = f.live, r
-	c.requests.push(r)
+	c.requests.Push(r)
 	s.requests++
 	c.takePart(now, r, p, out)
 }
--- a/internal/hostcore/stop.go
+++ b/internal/hostcore/stop.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mimosashore.example/mimosashore/internal/ids"
+	"mimosashore.example/mimosashore/internal/list"
 	"mimosashore.example/mimosashore/internal/verdict"
 )
 
@@ -40,7 +41,7 @@
 	if !c.stopping {
 		return
 	}
-	if c.requests.length > 0 {
+	if c.requests.Len() > 0 {
 		c.lingerEnd = now + stopLinger
 		return
 	}
@@ -56,8 +57,8 @@
 	}
 	c.past = append(c.past, c.self.Incarnation)
 	c.self = self
-	for _, q := range [...]*list[flow]{&c.flows.unused, &c.flows.active} {
-		for f := q.first; f != nil; f = f.inQueue.next {
+	for _, q := range [...]*list.List[flow]{&c.flows.unused, &c.flows.active} {
+		for f := q.First(); f != nil; f = f.inQueue.Next() {
 			f.retired = true
 		}
 	}
--- a/internal/hostcore/verdicts.go
+++ b/internal/hostcore/verdicts.go
@@ -20,7 +20,7 @@
 	r.state = stateEnded
 	r.flow.close(r.id, v, reason)
 	r.flow.unlink(r)
-	c.requests.remove(r)
+	c.requests.Remove(r)
 	r.service.requests--
 	size := int(r.body.Size())
 	c.bodyBytes -= size
