logging: write all queued lines at the end

Change: batches are written until the queue is empty. Test: TestBoundedNeverBlocks failed first, now five times green with the race detector.

--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -67,7 +67,9 @@
 	for {
 		select {
 		case <-ctx.Done():
-			b.flush(b.collect(buf[:0]))
+			for buf = b.collect(buf[:0]); len(buf) > 0; buf = b.collect(buf[:0]) {
+				b.flush(buf)
+			}
 			return
 		case line := <-b.lines:
 			buf = b.collect(append(buf[:0], line...))
@@ -90,9 +92,6 @@
 }
 
 func (b *Bounded) flush(buf []byte) {
-	if len(buf) == 0 {
-		return
-	}
 	if _, err := b.out.Write(buf); err != nil {
 		// There is no other place to tell; the metric shows it.
 		b.LeftOut.Add(1)
