dsrpeer: a duty for hellos, and no host rests on one that rests itself

Cause: a follower broke its link each 25 s to say hello and read the store for 2 s meanwhile. Beside it, TestTwoHostsOfAZoneReadTheStoreForTheOthers failed in 4 of 42 runs beside load: a host with an incomplete list followed one that was itself following, and stayed there for up to 4 s after the readers lost the store. The first failure was in the wait for three followers: hosts that missed each other in the first two hellos met 25 s later. Change: Greet and Follow are goroutines of their own; hellos come after 1.5, 3, 6, 12 and then 25 s; a host tells whether it reads the store itself, and only such a host is followed for others. A lost history is read again after 0.1 s, not at once. The test waits for two full intervals instead of 15 s, the bound that the interval sets.

--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -86,7 +86,11 @@
 	}
 	if u != nil && u.Incarnation == d.Incarnation && u.Addr == d.Addr && u.Service == d.Service {
 		if d.Draining != u.Draining {
-			c.note(Record{Event: "upstream draining", Upstream: d.Key, Service: d.Service, Revision: uint64(d.Revision)})
+			event := "upstream draining"
+			if !d.Draining {
+				event = "upstream no longer draining"
+			}
+			c.note(Record{Event: event, Upstream: d.Key, Service: d.Service, Revision: uint64(d.Revision)})
 		}
 		u.Upstream = *d
 		u.removeAt, u.unusable = 0, false
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -9,10 +9,10 @@
 
 const (
 	// freshFor is how old the last answer of the store may be for a missing
-	// route to count as missing: two waits of a watch.
+	// route to count as missing: two watches of 2 s with their timeouts.
 	freshFor = 6 * time.Second
 	// freshDown is the same while the store does not answer this host: another
-	// host that it answers tells news each second.
+	// host that it answers sends news each 0.4 s; three of them.
 	freshDown = 1200 * time.Millisecond
 	// refreshInterval is the least time between two requests for a full read.
 	refreshInterval = time.Second
--- a/internal/dsrhost/feed.go
+++ b/internal/dsrhost/feed.go
@@ -98,6 +98,7 @@
 		if errors.As(err, &fault) && fault.Fault == store.FaultCompacted {
 			f.log.Warn("history is gone, reading all", zap.Error(err))
 			f.listNext = true
+			sleep(ctx, retryMin)
 			continue
 		}
 		f.failed(ctx, err)
--- a/internal/dsrhost/host.go
+++ b/internal/dsrhost/host.go
@@ -177,7 +177,8 @@
 	}
 	if h.peer != nil {
 		duties.Go(func() { failures <- h.peer.Serve(ctx) })
-		duties.Go(func() { h.peer.Run(ctx) })
+		duties.Go(func() { h.peer.Greet(ctx) })
+		duties.Go(func() { h.peer.Follow(ctx) })
 	}
 	var err error
 	select {
--- a/internal/dsrhost/stats.go
+++ b/internal/dsrhost/stats.go
@@ -60,9 +60,10 @@
 
 // addPeer shows the exchange with other hosts.
 func (s *stats) addPeer(p *dsrpeer.Peer) {
+	s.set.NewGauge("mimosashore_dsr_answered_hellos", func() float64 { return float64(p.Hellos()) })
 	s.set.NewGauge("mimosashore_dsr_known_hosts", func() float64 { return float64(p.Known()) })
 	for kind, count := range map[string]*atomic.Uint64{
-		"hello": &p.Stats.Hellos, "followed": &p.Stats.Followed, "served": &p.Stats.Served, "refused": &p.Stats.Refused, "failed": &p.Stats.Failed,
+		"followed": &p.Stats.Followed, "served": &p.Stats.Served, "refused": &p.Stats.Refused, "failed": &p.Stats.Failed,
 	} {
 		s.set.NewGauge(fmt.Sprintf("mimosashore_dsr_peer_messages{kind=%q}", kind), func() float64 { return float64(count.Load()) })
 	}
--- a/internal/dsrpeer/follow.go
+++ b/internal/dsrpeer/follow.go
@@ -11,38 +11,42 @@
 	"mimosashore.example/mimosashore/internal/replica"
 )
 
-// Run says hello to other hosts, follows one while the store leaves this host
-// without answers, and lets another read the store for it, until the context ends.
-func (p *Peer) Run(ctx context.Context) {
-	var nextHello, nextWatcher time.Duration
-	for hellos := 0; ctx.Err() == nil; {
-		now := p.settings.Now()
+// Greet says hello to other hosts until the context ends, so that they know of
+// this one and it of them. Hosts that started together meet in the first few.
+func (p *Peer) Greet(ctx context.Context) {
+	interval := helloFirst
+	for ctx.Err() == nil {
+		if !p.helloAny(ctx) {
+			pause(ctx, helloRetry)
+			continue
+		}
+		p.hellos.Add(1)
+		pause(ctx, interval)
+		interval = min(2*interval, helloInterval)
+	}
+}
+
+// Follow follows another host while the store leaves this one without answers,
+// and lets another read the store for it, until the context ends.
+func (p *Peer) Follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := checkInterval
 		switch {
 		case p.settings.Needed():
 			if !p.followAny(ctx) {
-				pause(ctx, followRetry)
-			}
-		case now >= nextHello:
-			if !p.helloAny(ctx) {
-				nextHello = now + helloRetry
-				continue
-			}
-			nextHello = now + helloInterval
-			if hellos++; hellos == 1 {
-				nextHello = now + helloSecond
+				wait = followRetry
 			}
-		case p.settings.Delegate && hellos > 1 && now >= nextWatcher:
-			p.followWatcher(ctx, &nextHello)
-			nextWatcher = p.settings.Now() + watcherRetry
-		default:
-			pause(ctx, checkInterval)
+		case p.settings.Delegate && p.hellos.Load() > 1 && p.settings.Now() >= p.nextWatcher:
+			p.followWatcher(ctx)
+			p.nextWatcher = p.settings.Now() + watcherRetry
 		}
+		pause(ctx, wait)
 	}
 }
 
 // followWatcher follows a host that reads the store for this one, as long as
 // the store answers that host. The reader of this host rests meanwhile.
-func (p *Peer) followWatcher(ctx context.Context, nextHello *time.Duration) {
+func (p *Peer) followWatcher(ctx context.Context) {
 	for _, host := range p.book.watchers(p.settings.Now()) {
 		n, ws, err := p.dial(ctx, host, true)
 		if err != nil {
@@ -57,7 +61,7 @@
 		}
 		p.settings.Log.Info("another host reads the store for this one", zap.Stringer("host", host), zap.Int64("heard_ms", n.HeardMs))
 		p.delegated.Store(true)
-		err = p.follow(ctx, ws, n, func(n *news) bool { return watches(n) && p.settings.Now() < *nextHello })
+		err = p.follow(ctx, ws, n, watches)
 		p.delegated.Store(false)
 		p.settings.Resume()
 		p.settings.Log.Info("reading the store again", zap.Stringer("host", host), zap.Error(err))
@@ -67,7 +71,7 @@
 
 // watches reports whether the sender of news hears from the store itself.
 func watches(n *news) bool {
-	return !n.Lost && n.HeardMs >= 0 && time.Duration(n.HeardMs)*time.Millisecond <= watcherAge
+	return n.Reads && n.HeardMs >= 0 && time.Duration(n.HeardMs)*time.Millisecond <= watcherAge
 }
 
 // helloAny says hello to the first host that answers, a contact before others,
@@ -84,7 +88,6 @@
 		}
 		ws.CloseNow()
 		p.learn(hosts[i], n)
-		p.Stats.Hellos.Add(1)
 		return true
 	}
 	return false
--- a/internal/dsrpeer/message.go
+++ b/internal/dsrpeer/message.go
@@ -54,8 +54,8 @@
 	Peers []contact
 	// HeardMs is how long ago the store answered the sender, in milliseconds; negative is never.
 	HeardMs int64
-	// Lost is set while the store does not answer the sender.
-	Lost bool
+	// Reads is set while the sender reads the store itself and gets answers.
+	Reads bool
 	// Update is an encoded update, or empty.
 	Update []byte
 }
--- a/internal/dsrpeer/peer.go
+++ b/internal/dsrpeer/peer.go
@@ -30,11 +30,11 @@
 	newsInterval = 400 * time.Millisecond
 	// silenceTimeout ends a link on which nothing came: three intervals.
 	silenceTimeout = 1200 * time.Millisecond
-	// helloInterval is the time between two hellos to a random host, helloRetry that until the first one was answered.
+	// helloFirst is the time from the first hello to the second; it doubles up to
+	// helloInterval. helloRetry is the pause after none was answered.
+	helloFirst    = 1500 * time.Millisecond
 	helloInterval = 25 * time.Second
 	helloRetry    = 500 * time.Millisecond
-	// helloSecond is the time from the first hello to the second, when those that started at the same time are known.
-	helloSecond = 1500 * time.Millisecond
 	// watcherAge is how long ago the store may have answered a host that reads it for others: a watch, its timeout and a pause.
 	watcherAge = 4 * time.Second
 	// watcherRetry is the pause after none of the hosts that should read the store could be followed.
@@ -72,9 +72,9 @@
 
 // Stats count since the start.
 type Stats struct {
-	// Hellos counts hellos that were answered, Followed updates taken from other
-	// hosts, Served those given, Refused links over the limit, Failed dials without answer.
-	Hellos, Followed, Served, Refused, Failed atomic.Uint64
+	// Followed counts updates taken from other hosts, Served those given, Refused
+	// links over the limit, Failed dials without answer.
+	Followed, Served, Refused, Failed atomic.Uint64
 }
 
 // Peer exchanges the directory with other hosts.
@@ -84,7 +84,11 @@
 	listener  net.Listener
 	followers atomic.Int32
 	delegated atomic.Bool
-	Stats     Stats
+	// hellos counts the hellos that were answered.
+	hellos atomic.Uint64
+	// nextWatcher is when Follow looks again for a host that reads the store.
+	nextWatcher time.Duration
+	Stats       Stats
 
 	// The last encoded update, with what it leads to.
 	mu        sync.Mutex
@@ -93,6 +97,9 @@
 	lastBytes []byte
 }
 
+// Hellos returns the number of hellos that were answered.
+func (p *Peer) Hellos() uint64 { return p.hellos.Load() }
+
 // Delegated reports whether another host reads the store for this one.
 func (p *Peer) Delegated() bool { return p.delegated.Load() }
 
--- a/internal/dsrpeer/peer_test.go
+++ b/internal/dsrpeer/peer_test.go
@@ -62,7 +62,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var duties sync.WaitGroup
 	duties.Go(func() { require.NoError(t, p.Serve(ctx)) })
-	duties.Go(func() { p.Run(ctx) })
+	duties.Go(func() { p.Greet(ctx) })
+	duties.Go(func() { p.Follow(ctx) })
 	h.stop = func() {
 		cancel()
 		duties.Wait()
@@ -132,7 +133,8 @@
 		}
 		return n
 	}
-	require.Eventually(t, func() bool { return delegated() == 3 }, 15*time.Second, 10*time.Millisecond)
+	// All know each other after the hellos of one full interval at the latest.
+	require.Eventually(t, func() bool { return delegated() == 3 }, 2*helloInterval, 10*time.Millisecond)
 	for _, h := range hosts {
 		h.lost.Store(!h.Delegated())
 	}
@@ -143,10 +145,10 @@
 }
 
 func TestHostThatTheStoreDoesNotAnswerIsNoWatcher(t *testing.T) {
-	require.True(t, watches(&news{HeardMs: 100}))
-	require.False(t, watches(&news{HeardMs: -1}))
-	require.False(t, watches(&news{HeardMs: 100, Lost: true}))
-	require.False(t, watches(&news{HeardMs: watcherAge.Milliseconds() + 1}), "it follows another host itself, so two hosts can't rest on each other")
+	require.True(t, watches(&news{HeardMs: 100, Reads: true}))
+	require.False(t, watches(&news{HeardMs: -1, Reads: true}))
+	require.False(t, watches(&news{HeardMs: 100}), "it lost the store, or rests on another host itself")
+	require.False(t, watches(&news{HeardMs: watcherAge.Milliseconds() + 1, Reads: true}), "the store's last answer is too old")
 }
 
 // Ten followers of a configuration of a thousand routes must not fill a link of 10 Mbit/s for long.
--- a/internal/dsrpeer/serve.go
+++ b/internal/dsrpeer/serve.go
@@ -94,7 +94,8 @@
 }
 
 func (p *Peer) send(ctx context.Context, ws *websocket.Conn, n *news) error {
-	n.HeardMs, n.Lost = p.settings.Heard().Milliseconds(), p.settings.Lost()
+	n.HeardMs = p.settings.Heard().Milliseconds()
+	n.Reads = !p.settings.Lost() && !p.delegated.Load()
 	p.Stats.Served.Add(1)
 	return write(ctx, ws, n)
 }
