dsr: the own zone comes first by four requests

Ruled out: faster resets (late already at the second repeat), the start of hosts (0.04 s from start to ready, the router needs up to 0.5 s). Change: four requests, two for each of two slots. Test: TestOwnZoneIsFilledFirst failed first.

--- a/internal/dsr/choose.go
+++ b/internal/dsr/choose.go
@@ -16,8 +16,9 @@
 	// flowLoad is the load of an open flow without a request under way, in
 	// requests: callers of long flows send about one request of 30 ms a second.
 	flowLoad = 0.05
-	// otherZoneLoad is the load, in requests, by which an upstream of the host's own zone may be busier.
-	otherZoneLoad = 1.0
+	// otherZoneLoad is the load, in requests, by which an upstream of the host's
+	// own zone may be busier: two for each of two slots, a wait within what callers want.
+	otherZoneLoad = 4.0
 	// doubtLoad is the load that puts a doubtful upstream behind all others.
 	doubtLoad = 1e6
 )
--- a/internal/dsr/core_test.go
+++ b/internal/dsr/core_test.go
@@ -538,6 +538,20 @@
 	require.NotEqual(t, to, c.last.To)
 }
 
+// Flows that stay in their zone outlive a cut between zones. Other zones take
+// flows when the upstreams of the own zone have no room.
+func TestOwnZoneIsFilledFirst(t *testing.T) {
+	f := newFixture(t)
+	var zones []string
+	for range 6 {
+		c := f.opened(streamPort)
+		c.request()
+		zones = append(zones, f.upstream(c).Zone)
+	}
+	require.Equal(t, []string{"a", "a", "a", "a"}, zones[:4], "two upstreams with windows of two")
+	require.NotContains(t, zones[4:], "a")
+}
+
 func TestCopyLeavesAnUpstreamThatIsGone(t *testing.T) {
 	f := newFixture(t)
 	c := f.caller(orderPort)
