--- a/internal/dsrhost/state.go
+++ b/internal/dsrhost/state.go
@@ -1,6 +1,7 @@
 package dsrhost
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -29,9 +30,9 @@
 	Leaving bool   `json:"leaving"`
 	// Revision is the revision of the store up to which the host knows all writes.
 	Revision uint64 `json:"revision"`
-	// Peers is the number of known hosts; Delegated is set while one of them reads the store for this one.
-	Peers     int  `json:"peers"`
-	Delegated bool `json:"delegated"`
+	// Peers is the number of known hosts, Reader the one that reads the store for this one, if any.
+	Peers  int    `json:"peers"`
+	Reader string `json:"reader,omitempty"`
 	*dsr.State
 }
 
@@ -45,7 +46,10 @@
 	}
 	s := &State{Name: h.settings.Name, Zone: h.settings.Zone, Leaving: h.ready.leaving.Load(), Revision: uint64(h.replica.At())}
 	if h.peer != nil {
-		s.Peers, s.Delegated = h.peer.Known(), h.peer.Delegated()
+		s.Peers = h.peer.Known()
+		if reader, ok := h.peer.Reader(); ok {
+			s.Reader = reader.String()
+		}
 	}
 	select {
 	case s.State = <-answer:
@@ -83,8 +87,8 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(t, "host %s in %s: ready %t, leaving %t\n", s.Name, s.Zone, s.Ready, s.Leaving)
 	fmt.Fprintf(t, "configuration version %d of revision %d with %d routes; %d flows\n", s.Version, s.ConfigurationRevision, s.Routes, s.Flows)
-	fmt.Fprintf(t, "store: revision %d, heard %d ms ago, down %t; %d hosts known, another one reads for this one %t\n",
-		s.Revision, s.HeardMs, s.StoreDown, s.Peers, s.Delegated)
+	fmt.Fprintf(t, "store: revision %d, heard %d ms ago, down %t, read by %s; %d hosts known\n",
+		s.Revision, s.HeardMs, s.StoreDown, cmp.Or(s.Reader, "this host"), s.Peers)
 	fmt.Fprintf(t, "zones in doubt %v, own link suspected %t\n\n", s.ZonesInDoubt, s.Strained)
 	fmt.Fprintln(t, "SERVICE\tUPSTREAM\tZONE\tADDRESS\tTOKEN\tREVISION\tSTATUS\tSUSPICION\tOPENING\tBUSY\tFLOWS\tWINDOW\tLATENCY MS\tLIFE MS")
 	for i := range s.Upstreams {
--- a/internal/dsrpeer/follow.go
+++ b/internal/dsrpeer/follow.go
@@ -60,9 +60,9 @@
 			continue
 		}
 		p.settings.Log.Info("another host reads the store for this one", zap.Stringer("host", host), zap.Int64("heard_ms", n.HeardMs))
-		p.delegated.Store(true)
+		p.reader.Store(&host)
 		err = p.follow(ctx, ws, n, watches)
-		p.delegated.Store(false)
+		p.reader.Store(nil)
 		p.settings.Resume()
 		p.settings.Log.Info("reading the store again", zap.Stringer("host", host), zap.Error(err))
 		return
--- a/internal/dsrpeer/peer.go
+++ b/internal/dsrpeer/peer.go
@@ -83,7 +83,8 @@
 	book      *book
 	listener  net.Listener
 	followers atomic.Int32
-	delegated atomic.Bool
+	// reader is the host that reads the store for this one; nil is none.
+	reader atomic.Pointer[netip.AddrPort]
 	// hellos counts the hellos that were answered.
 	hellos atomic.Uint64
 	// nextWatcher is when Follow looks again for a host that reads the store.
@@ -100,8 +101,16 @@
 // Hellos returns the number of hellos that were answered.
 func (p *Peer) Hellos() uint64 { return p.hellos.Load() }
 
+// Reader returns the host that reads the store for this one, if there is one.
+func (p *Peer) Reader() (netip.AddrPort, bool) {
+	if r := p.reader.Load(); r != nil {
+		return *r, true
+	}
+	return netip.AddrPort{}, false
+}
+
 // Delegated reports whether another host reads the store for this one.
-func (p *Peer) Delegated() bool { return p.delegated.Load() }
+func (p *Peer) Delegated() bool { return p.reader.Load() != nil }
 
 // Listen opens the control address.
 func Listen(s Settings) (*Peer, error) {
--- a/internal/dsrpeer/serve.go
+++ b/internal/dsrpeer/serve.go
@@ -95,7 +95,7 @@
 
 func (p *Peer) send(ctx context.Context, ws *websocket.Conn, n *news) error {
 	n.HeardMs = p.settings.Heard().Milliseconds()
-	n.Reads = !p.settings.Lost() && !p.delegated.Load()
+	n.Reads = !p.settings.Lost() && !p.Delegated()
 	p.Stats.Served.Add(1)
 	return write(ctx, ws, n)
 }
