--- /dev/null
+++ b/internal/dsr/fixture_test.go
@@ -0,0 +1,238 @@
+package dsr
+
+import (
+	"encoding/binary"
+	"errors"
+	"flag"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mimosashore.example/mimosashore/internal/directory"
+	"mimosashore.example/mimosashore/internal/store"
+)
+
+func init() {
+	// The same cases on each run.
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+// testFormat carries the fields of Packet in a fixed layout of its own.
+type testFormat struct{}
+
+func (testFormat) Overhead() int { return 8 }
+
+func (testFormat) Parse(b []byte, p *Packet) error {
+	if len(b) != 24 {
+		return errors.New("wrong length")
+	}
+	*p = Packet{
+		Caller:  netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[0:4])), binary.BigEndian.Uint16(b[4:])),
+		Service: netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), binary.BigEndian.Uint16(b[6:])),
+		Seq:     binary.BigEndian.Uint32(b[8:]),
+		Ack:     binary.BigEndian.Uint32(b[12:]),
+		Length:  int(binary.BigEndian.Uint16(b[16:])),
+		Token:   Token(binary.BigEndian.Uint32(b[18:])),
+		Open:    b[22]&1 != 0, Fin: b[22]&2 != 0, HasAck: b[22]&4 != 0,
+	}
+	if p.Open {
+		p.Copy = uint32(b[23])
+	}
+	return nil
+}
+
+func (testFormat) SetToken([]byte, Token) {}
+
+func (testFormat) PutTarget([]byte, uint64) {}
+
+func (testFormat) AppendReset(b []byte, _ *Packet) []byte { return b }
+
+// The addresses of the routes of the tests.
+const (
+	streamPort = 8443
+	orderPort  = 8080
+	uploadPort = 9090
+)
+
+// fixture drives a core as callers and upstreams would.
+type fixture struct {
+	t    *testing.T
+	core *Core
+	now  time.Duration
+	rev  store.Revision
+	next byte
+}
+
+// caller is one flow as its caller sees it.
+type caller struct {
+	f     *fixture
+	id    byte
+	port  uint16
+	seq   uint32
+	ack   uint32
+	token Token
+	last  Effect
+}
+
+func upstreamOf(n int, service, zone string) directory.Upstream {
+	return directory.Upstream{
+		Key: fmt.Sprintf("u%d", n), ID: uint64(n), Incarnation: int64(1000 + n), Service: service, Zone: zone,
+		Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80), Slots: 2,
+	}
+}
+
+// newFixture returns a core in zone a with two upstreams of a service in each of the zones a, b and c.
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{t: t, core: New("a", testFormat{}), now: time.Second, rev: 10}
+	ch := &directory.Change{Full: true, Asked: f.now, At: f.rev, Configuration: configuration(1)}
+	for n := 1; n <= 6; n++ {
+		ch.Upstreams = append(ch.Upstreams, upstreamOf(n, "orders", string("abc"[(n-1)/2])))
+	}
+	for i := range ch.Upstreams {
+		ch.Upstreams[i].Revision = f.rev
+	}
+	f.core.StoreAnswered(f.now)
+	f.core.Apply(f.now, ch)
+	require.True(t, f.core.Ready())
+	return f
+}
+
+func configuration(version uint64) *directory.Configuration {
+	target := []directory.Target{{Service: "orders", Weight: 1}}
+	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), port) }
+	return &directory.Configuration{Version: version, Revision: store.Revision(version), Routes: []directory.Route{
+		{Name: "stream", Addr: at(streamPort), Targets: target, Idempotent: true},
+		{Name: "order", Addr: at(orderPort), Targets: target},
+	}}
+}
+
+// write applies registrations with a new revision.
+func (f *fixture) write(us ...directory.Upstream) {
+	f.rev++
+	for i := range us {
+		us[i].Revision = f.rev
+	}
+	f.core.StoreAnswered(f.now)
+	f.core.Apply(f.now, &directory.Change{At: f.rev, Upstreams: us})
+}
+
+// lapse removes registrations.
+func (f *fixture) lapse(keys ...string) {
+	f.rev++
+	ch := &directory.Change{At: f.rev}
+	for _, k := range keys {
+		ch.Removed = append(ch.Removed, directory.Removal{Key: k, Revision: f.rev})
+	}
+	f.core.StoreAnswered(f.now)
+	f.core.Apply(f.now, ch)
+}
+
+func (f *fixture) caller(port uint16) *caller {
+	f.next++
+	return &caller{f: f, id: f.next, port: port, seq: 100}
+}
+
+func (c *caller) send(flags, copies byte, length int) Effect {
+	var b [24]byte
+	copy(b[:], []byte{100, 64, 0, c.id, 4, 1})
+	binary.BigEndian.PutUint16(b[6:], c.port)
+	binary.BigEndian.PutUint32(b[8:], c.seq)
+	binary.BigEndian.PutUint32(b[12:], c.ack)
+	binary.BigEndian.PutUint16(b[16:], uint16(length))
+	binary.BigEndian.PutUint32(b[18:], uint32(c.token))
+	b[22], b[23] = flags, copies
+	_, c.last = c.f.core.Packet(c.f.now, b[:])
+	return c.last
+}
+
+// open sends the first packet of the flow.
+func (c *caller) open() Effect {
+	e := c.send(1, 0, 0)
+	c.token = e.Token
+	return e
+}
+
+// again sends a copy of the first packet.
+func (c *caller) again(n byte) Effect {
+	token := c.token
+	c.token = 0
+	e := c.send(1, n, 0)
+	c.token = token
+	if e.Token != 0 {
+		c.token = e.Token
+	}
+	return e
+}
+
+// confirm completes the handshake.
+func (c *caller) confirm() Effect {
+	c.seq, c.ack = 101, 500
+	return c.send(4, 0, 0)
+}
+
+// request sends a request of one packet; repeat sends it again.
+func (c *caller) request() Effect {
+	e := c.send(4, 0, 300)
+	c.seq += 300
+	return e
+}
+
+func (c *caller) repeat() Effect {
+	c.seq -= 300
+	e := c.send(4, 0, 300)
+	c.seq += 300
+	return e
+}
+
+// answered acknowledges an answer.
+func (c *caller) answered() Effect {
+	c.ack += 2000
+	return c.send(4, 0, 0)
+}
+
+func (f *fixture) wait(d time.Duration) { f.now += d }
+
+// opened returns an open flow to the service.
+func (f *fixture) opened(port uint16) *caller {
+	c := f.caller(port)
+	require.Equal(f.t, Forward, c.open().Action)
+	f.wait(7 * time.Millisecond)
+	require.Equal(f.t, Forward, c.confirm().Action)
+	return c
+}
+
+func (f *fixture) upstream(c *caller) *upstream {
+	u := f.core.tokens[c.token]
+	require.NotNil(f.t, u)
+	return u
+}
+
+// openedBeside returns an open flow on the same upstream.
+func (f *fixture) openedBeside(c *caller, port uint16) *caller {
+	for {
+		if n := f.opened(port); f.upstream(n) == f.upstream(c) {
+			return n
+		}
+	}
+}
+
+// pass lets time pass with ordinary traffic: each 20 ms a flow is opened and
+// closed. The silent upstream, if any, answers nothing.
+func (f *fixture) pass(d time.Duration, silent *upstream) {
+	for end := f.now + d; f.now < end; {
+		c := f.caller(orderPort)
+		if c.open(); c.last.Action == Forward && f.upstream(c) != silent {
+			f.now += 7 * time.Millisecond
+			c.confirm()
+			c.send(4|2, 0, 0)
+			f.now += 13 * time.Millisecond
+			continue
+		}
+		f.now += 20 * time.Millisecond
+	}
+}
