--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -44,6 +44,7 @@
 	version    uint64
 	// configRevision is the revision of the store that wrote the configuration.
 	configRevision uint64
+	configuredAt   time.Duration
 	routes         map[netip.AddrPort]*route
 
 	// complete is set once a full directory is known.
@@ -90,6 +91,14 @@
 // Version returns the version of the configuration in force.
 func (c *Core) Version() uint64 { return c.version }
 
+// ConfigurationAge returns how long the configuration has been in force here; zero if there is none.
+func (c *Core) ConfigurationAge(now time.Duration) time.Duration {
+	if !c.configured {
+		return 0
+	}
+	return now - c.configuredAt
+}
+
 // Flows returns the number of flows in the cache.
 func (c *Core) Flows() int { return len(c.cache.flows) }
 
@@ -123,7 +132,7 @@
 	if c.configured && uint64(n.Revision) <= c.configRevision {
 		return
 	}
-	c.configured, c.version, c.configRevision = true, n.Version, uint64(n.Revision)
+	c.configured, c.version, c.configRevision, c.configuredAt = true, n.Version, uint64(n.Revision), now
 	old := c.routes
 	c.routes = make(map[netip.AddrPort]*route, len(n.Routes))
 	for _, s := range c.services {
--- a/internal/dsr/core_test.go
+++ b/internal/dsr/core_test.go
@@ -388,6 +388,21 @@
 	require.Equal(t, Forward, second.request().Action)
 }
 
+// A cut may have healed meanwhile; the next request finds out.
+func TestSilenceIsNotRememberedForLong(t *testing.T) {
+	f := newFixture(t)
+	first := f.opened(streamPort)
+	second := f.openedBeside(first, streamPort)
+	u := f.upstream(first)
+	f.fallSilent(first)
+	f.pass(silentKeep-100*time.Millisecond, u)
+	require.Equal(t, Reset, second.request().Action)
+	third := f.caller(streamPort)
+	third.token = second.token
+	f.pass(200*time.Millisecond, u)
+	require.Equal(t, Forward, third.request().Action)
+}
+
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	f := newFixture(t)
 	f.core.Apply(f.now, &directory.Change{At: 30, Configuration: configuration(30)})
--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -11,6 +11,9 @@
 	silentFor = 550 * time.Millisecond
 	// silentRepeats is the number of repeats that this takes.
 	silentRepeats = 2
+	// silentKeep is how long the verdict holds for the requests of other flows: half of the time
+	// after which the platform takes a trouble for past.
+	silentKeep = 2 * time.Second
 )
 
 // observe learns from a packet after the first.
@@ -111,12 +114,12 @@
 		return false
 	}
 	if f.repeats >= silentRepeats && now-max(f.progressAt, f.judgedAt) >= silentFor && now-u.reachedAt >= silentFor {
-		if !u.silent {
-			u.silent = true
+		if !u.isSilent(now) {
 			u.doubt.raise(now, f.progressAt)
 			c.note(Record{Event: "upstream is silent", Caller: f.key.caller, Upstream: u.Key, Service: u.Service, Age: now - u.reachedAt})
 		}
+		u.silentAt = now
 		return true
 	}
-	return u.silent
+	return u.isSilent(now)
 }
--- a/internal/dsr/state.go
+++ b/internal/dsr/state.go
@@ -97,7 +97,7 @@
 
 func (u *upstream) suspicion(now time.Duration) string {
 	switch {
-	case u.silent:
+	case u.isSilent(now):
 		return "silent"
 	case now < u.doubt.until:
 		return "avoided"
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -43,8 +43,8 @@
 	// lifeAt is the last sign of life, reachedAt when the last packet was sent that the upstream answered.
 	lifeAt, reachedAt time.Duration
 	doubt             doubt
-	// silent is set when nothing came back for silentFor, until something does.
-	silent bool
+	// silentAt is when it was last found that nothing comes back; zero if something did since.
+	silentAt time.Duration
 	// latency is the mean time from request to answer, in seconds; zero is unknown.
 	latency   float64
 	latencyAt time.Duration
@@ -101,6 +101,11 @@
 	return !u.gone && !u.Draining && !u.shared && !u.unusable
 }
 
+// isSilent reports whether a request found of late that nothing comes back.
+func (u *upstream) isSilent(now time.Duration) bool {
+	return u.silentAt != 0 && now-u.silentAt < silentKeep
+}
+
 // doubtful reports whether the upstream is better avoided.
 func (u *upstream) doubtful(now time.Duration) bool {
 	if u.removeAt != 0 || now < u.doubt.until || now < u.zone.doubt.until {
@@ -142,8 +147,8 @@
 // packets of this host still arrive.
 func (c *Core) alive(now, sent time.Duration, u *upstream) {
 	u.lifeAt, u.reachedAt = now, max(u.reachedAt, sent)
-	if u.silent {
-		u.silent = false
+	if u.silentAt != 0 {
+		u.silentAt = 0
 		c.note(Record{Event: "upstream is no longer silent", Upstream: u.Key, Service: u.Service})
 	}
 	z := u.zone
--- a/internal/dsrhost/decide.go
+++ b/internal/dsrhost/decide.go
@@ -119,6 +119,7 @@
 	s := d.host.stats
 	s.flows.Store(int64(d.core.Flows()))
 	s.version.Store(int64(d.core.Version()))
+	s.age.Store(int64(d.core.ConfigurationAge(d.host.since())))
 }
 
 // recordLog writes records of the core.
--- a/internal/dsrhost/stats.go
+++ b/internal/dsrhost/stats.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -20,7 +21,7 @@
 	handshakes, answers        *metrics.Histogram
 	storeResults               map[string]*metrics.Counter
 	packets                    map[dsr.Effect]*metrics.Counter
-	flows, version             atomic.Int64
+	flows, version, age        atomic.Int64
 }
 
 // The operations of the store as metrics name them.
@@ -45,6 +46,7 @@
 		packets:        make(map[dsr.Effect]*metrics.Counter),
 	}
 	set.NewGauge("mimosashore_dsr_flows", func() float64 { return float64(s.flows.Load()) })
+	set.NewGauge("mimosashore_dsr_configuration_age_seconds", func() float64 { return time.Duration(s.age.Load()).Seconds() })
 	set.NewGauge("mimosashore_dsr_configuration_version", func() float64 { return float64(s.version.Load()) })
 	if lines != nil {
 		set.NewGauge("mimosashore_dsr_log_lines_left_out", func() float64 { return float64(lines.LeftOut.Load()) })
--- a/internal/tools/doccheck/doccheck_test.go
+++ b/internal/tools/doccheck/doccheck_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"mimosashore.example/mimosashore/internal/settings"
 )
 
 // root is the root of the repository, seen from this package.
@@ -21,6 +23,8 @@
 	makeTarget = regexp.MustCompile("`make ([a-z]+)`")
 	targetRule = regexp.MustCompile(`(?m)^([a-z]+):`)
 	repoPath   = regexp.MustCompile("`((?:cmd|internal|deploy|docs|platform|scripts|examples)/[\\w./-]+)`")
+	flagName   = regexp.MustCompile(`--[a-z][a-z-]+`)
+	flagTag    = regexp.MustCompile(`arg:"(--[a-z][a-z-]+)`)
 	metricName = regexp.MustCompile("`(mimosashore_dsr_\\w+)")
 )
 
@@ -101,3 +105,42 @@
 	require.NoError(t, err)
 	require.Equal(t, inCode, first(metricName.FindAllStringSubmatch(string(b), -1)))
 }
+
+// The options of the programs, and those of the demo's script. Lines on the users' bench have options of its own.
+func TestNamedOptionsExist(t *testing.T) {
+	known := first(flagTag.FindAllStringSubmatch(sources(t, ".go"), -1))
+	known["--help"], known["--version"] = true, true
+	script, err := os.ReadFile(filepath.Join(root, "scripts", "demo.sh"))
+	require.NoError(t, err)
+	for _, f := range flagName.FindAllString(string(script), -1) {
+		known[f] = true
+	}
+	for page, text := range pages(t) {
+		for _, line := range strings.Split(text, "\n") {
+			if strings.Contains(line, "fleetbench") || strings.Contains(line, "`--why`") {
+				continue
+			}
+			for _, f := range flagName.FindAllString(line, -1) {
+				require.True(t, known[f], "%s names %s", page, f)
+			}
+		}
+	}
+}
+
+// The settings on the operators' page are settings that a host takes.
+func TestSettingsOfThePageAreTaken(t *testing.T) {
+	b, err := os.ReadFile(filepath.Join(root, "docs", "OPERATIONS-DATAPATH.md"))
+	require.NoError(t, err)
+	var text strings.Builder
+	for _, line := range strings.Split(string(b), "\n") {
+		if strings.HasPrefix(line, "## Signals") {
+			break
+		}
+		if indented, ok := strings.CutPrefix(line, "    "); ok {
+			text.WriteString(indented + "\n")
+		}
+	}
+	s, problems := settings.Parse("page", []byte(text.String()))
+	require.NoError(t, problems.Err())
+	require.Equal(t, 4096, s.Data.Ring)
+}
