mimosad-dsr: take signals before the settings are read

Cause: a hang-up that reaches the process while it reads its settings ended it, since handlers were set once the host was built.

Ruled out: the host's own handling of a reload (the process had no handler yet; no log line was written).

Change: the signals are taken first in main and handed on; a signal during the start is handled once the host runs.

Test that failed first: TestReloadDuringTheStartKeepsTheHost (settings in a pipe, hang-up while the host waits for them); 20 s without readiness before, passes in under 1 s.

--- a/cmd/mimosad-dsr/host_test.go
+++ b/cmd/mimosad-dsr/host_test.go
@@ -232,6 +232,7 @@
 	}
 	for _, u := range f.upstreams {
 		require.Zero(t, u.Misses())
+		require.Zero(t, u.Broken())
 	}
 	_, err := f.caller().Open(nowhere, f.spray)
 	require.ErrorIs(t, err, dsrworld.ErrReset, "an address without a route")
@@ -375,6 +376,29 @@
 	require.NoError(t, err)
 }
 
+// A changed file can be announced while the host still reads the one before.
+func TestReloadDuringTheStartKeepsTheHost(t *testing.T) {
+	f := newFleet(t, 1)
+	h := f.hosts[0]
+	h.kill()
+	good, err := os.ReadFile(h.settings)
+	require.NoError(t, err)
+	require.NoError(t, os.Remove(h.settings))
+	require.NoError(t, syscall.Mkfifo(h.settings, 0o600))
+	h.start()
+	// Opening the pipe waits until the host reads it.
+	pipe, err := os.OpenFile(h.settings, os.O_WRONLY, 0)
+	require.NoError(t, err)
+	require.NoError(t, os.Rename(h.settings, h.settings+".pipe"))
+	require.NoError(t, os.WriteFile(h.settings, good, 0o600))
+	require.NoError(t, h.cmd.Process.Signal(syscall.SIGHUP))
+	_, err = pipe.Write(good)
+	require.NoError(t, err)
+	require.NoError(t, pipe.Close())
+	h.awaitReady(http.StatusOK)
+	require.Eventually(t, func() bool { return strings.Contains(h.output(), "reload done") }, patience, 10*time.Millisecond)
+}
+
 func TestBadSettingsAreReportedAtOnce(t *testing.T) {
 	for name, text := range map[string]string{
 		"cut off":        `{"node": "a", "zo`,
--- a/cmd/mimosad-dsr/main.go
+++ b/cmd/mimosad-dsr/main.go
@@ -53,6 +53,9 @@
 		}
 		return
 	}
+	// A hang-up while the settings are read must not end the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	path := args.Settings
 	if path == "" {
 		path = platform.SettingsPath()
@@ -68,7 +71,7 @@
 	if args.Metrics != 0 {
 		s.Metrics = netip.AddrPortFrom(s.Data.Addr(), args.Metrics)
 	}
-	if err := run(s, path, args.LogLevel); err != nil {
+	if err := run(s, path, args.LogLevel, signals); err != nil {
 		fmt.Fprintln(os.Stderr, "mimosad-dsr:", err)
 		os.Exit(exitFailed)
 	}
@@ -88,7 +91,7 @@
 }
 
 // run serves until a planned stop has ended or a duty fails.
-func run(s *dsrhost.Settings, path, level string) error {
+func run(s *dsrhost.Settings, path, level string, signals <-chan os.Signal) error {
 	lines := logging.NewBounded(os.Stdout)
 	logger, err := logging.New(settings.Log{Level: level, Format: settings.FormatJSON}, lines)
 	if err != nil {
@@ -124,15 +127,13 @@
 	if err != nil {
 		return err
 	}
-	go handleSignals(ctx, cancel, host, path, logging.ForPart(logger, "settings"))
+	go handleSignals(ctx, signals, cancel, host, path, logging.ForPart(logger, "settings"))
 	return host.Run(ctx)
 }
 
 // handleSignals runs a planned stop on the first signal to stop, ends the host
 // at once on the second, and reads the settings again when they changed.
-func handleSignals(ctx context.Context, cancel context.CancelFunc, host *dsrhost.Host, path string, log logging.Part) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+func handleSignals(ctx context.Context, signals <-chan os.Signal, cancel context.CancelFunc, host *dsrhost.Host, path string, log logging.Part) {
 	leaving := false
 	for {
 		select {
