dsrworld: traces of flows, a history that can be dropped, copies of first packets

Callers tell which host took each copy of a flow's first packet and who sent a reset; upstreams tell when flows were opened, which packets belonged to flows that they don't hold, and end flows with an answer once they leave; the store can drop its history.

A copy of the first packet came late over a slow link, and the stand-in let it open the flow anew. Ended and open flows are now remembered, as the platform's upstreams do; the product was not at fault. Packets that were changed on the way are counted apart from those for another upstream.

--- a/internal/standin/dsrworld/caller.go
+++ b/internal/standin/dsrworld/caller.go
@@ -44,7 +44,10 @@
 // Close closes the socket.
 func (c *Caller) Close() { c.conn.Close() }
 
-// Flow is an open flow of a caller. One is used at a time.
+// Last returns the address and port of the flow that was opened last or is being opened.
+func (c *Caller) Last() netip.AddrPort { return netip.AddrPortFrom(c.addr, c.port) }
+
+// Flow is a flow of a caller. One is used at a time.
 type Flow struct {
 	caller  *Caller
 	service netip.AddrPort
@@ -53,34 +56,75 @@
 	hosts    func() netip.AddrPort
 	seq, ack uint32
 	echo     uint32
+	trace    Trace
+}
+
+// Trace tells what a flow went through.
+type Trace struct {
+	// Self is the end of the caller.
+	Self netip.AddrPort
+	// Copies are the packets that asked for the flow.
+	Copies []Copy
+	// Open reports whether an upstream took the flow, and Upstream holds the last 32 bits of its identity.
+	Open     bool
+	Upstream uint32
+	// Ended is set once the upstream ended the flow with an answer.
+	Ended bool
+	// Reset is the reset that ended the flow, if one did.
+	Reset *Reset
+}
+
+// Copy is a packet that asks for a flow.
+type Copy struct {
+	At   time.Time
+	Host netip.AddrPort
+}
+
+// Reset is a reset that a caller got.
+type Reset struct {
+	At   time.Time
+	From netip.AddrPort
+	// ByHost is set if a host sent it, and not an upstream.
+	ByHost bool
 }
 
 // Open opens a flow to a service through the hosts that the function names.
+// The flow that failed is returned beside the error.
 func (c *Caller) Open(service netip.AddrPort, hosts func() netip.AddrPort) (*Flow, error) {
 	c.port++
-	f := &Flow{caller: c, service: service, self: netip.AddrPortFrom(c.addr, c.port), hosts: hosts, seq: 1000 * uint32(c.port)}
+	self := netip.AddrPortFrom(c.addr, c.port)
+	f := &Flow{caller: c, service: service, self: self, hosts: hosts, seq: 1000 * uint32(c.port), trace: Trace{Self: self}}
 	began := time.Now()
 	for copies, wait := range []time.Duration{firstCopy, secondCopy, openLimit} {
-		f.send(packet{seq: f.seq, ack: uint32(copies), flags: syn})
+		at := time.Now()
+		host := f.send(packet{seq: f.seq, ack: uint32(copies), flags: syn})
+		f.trace.Copies = append(f.trace.Copies, Copy{at, host})
 		p, err := f.receive(began.Add(wait))
 		if errors.Is(err, ErrTimeout) {
 			continue
 		}
 		if err != nil {
-			return nil, err
+			return f, err
 		}
+		f.trace.Open, f.trace.Upstream = true, p.seq
 		f.seq++
 		f.ack = p.seq + 1
 		f.send(packet{seq: f.seq, ack: f.ack, flags: ack})
 		return f, nil
 	}
-	return nil, ErrTimeout
+	return f, ErrTimeout
 }
 
-func (f *Flow) send(p packet) {
+// Trace returns what the flow went through so far.
+func (f *Flow) Trace() Trace { return f.trace }
+
+// send sends a packet and returns the host that takes it.
+func (f *Flow) send(p packet) netip.AddrPort {
 	p.src, p.dst, p.echo = f.self, f.service, f.echo
+	host := f.hosts()
 	// A lost packet is sent again.
-	_, _ = f.caller.conn.WriteToUDPAddrPort(p.encode(), f.hosts())
+	_, _ = f.caller.conn.WriteToUDPAddrPort(p.encode(), host)
+	return host
 }
 
 // receive returns the next packet of the flow.
@@ -90,7 +134,7 @@
 		if err := f.caller.conn.SetReadDeadline(until); err != nil {
 			return packet{}, err
 		}
-		n, _, err := f.caller.conn.ReadFromUDPAddrPort(buf)
+		n, from, err := f.caller.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			return packet{}, ErrTimeout
 		}
@@ -99,11 +143,16 @@
 			continue
 		}
 		if p.flags&rst != 0 {
+			f.trace.Reset = &Reset{At: time.Now(), From: from, ByHost: p.sum == 0}
 			return p, ErrReset
 		}
 		if !whole {
 			return p, ErrMixed
 		}
+		// Another upstream took a copy of the first packet; the flow is open at the first one.
+		if f.trace.Open && p.flags&syn != 0 {
+			continue
+		}
 		f.echo = p.echo
 		return p, nil
 	}
@@ -126,6 +175,7 @@
 		if err != nil {
 			return "", err
 		}
+		f.trace.Ended = p.flags&fin != 0
 		f.seq += uint32(len(text))
 		f.ack = p.seq + uint32(len(p.data))
 		f.send(packet{seq: f.seq, ack: f.ack, flags: ack})
--- a/internal/standin/dsrworld/store.go
+++ b/internal/standin/dsrworld/store.go
@@ -30,9 +30,11 @@
 	items    map[string]entry
 	history  []entry
 	revision uint64
-	down     bool
-	changed  chan struct{}
-	calls    int
+	// forgotten is the last revision that the history no longer holds.
+	forgotten uint64
+	down      bool
+	changed   chan struct{}
+	calls     int
 }
 
 // NewStore starts a store on a loopback address.
@@ -60,6 +62,14 @@
 	s.wake()
 }
 
+// Forget drops the history, as a compaction does.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.forgotten = nil, s.revision
+	s.wake()
+}
+
 // Calls returns the number of calls so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -162,6 +172,10 @@
 	}
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
+		if after < s.forgotten {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		events := []entry{}
 		for _, e := range s.history {
 			if e.Revision > after && strings.HasPrefix(e.Key, query.Get("prefix")) {
--- a/internal/standin/dsrworld/upstream.go
+++ b/internal/standin/dsrworld/upstream.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -32,14 +34,39 @@
 	ID           uint64
 	Registration Registration
 
-	conn *net.UDPConn
-	mu   sync.Mutex
-	// flows holds the next byte expected of each open flow.
-	flows map[netip.AddrPort]uint32
-	// ran counts runs of each request, misses packets that were not for this upstream.
+	conn  *net.UDPConn
+	mu    sync.Mutex
+	flows map[netip.AddrPort]*upstreamFlow
+	// ran counts runs of each request, misses packets for another upstream, broken those that were changed on the way.
 	ran    map[string]int
 	misses int
-	opened int
+	broken int
+	// leaving ends each flow with its next answer.
+	leaving bool
+	opened  []Opening
+	strays  []Stray
+}
+
+// upstreamFlow is a flow that the upstream took. Ended ones are remembered, since copies of their packets can come late.
+type upstreamFlow struct {
+	// next is the next byte expected.
+	next  uint32
+	ended bool
+}
+
+// Opening is a packet that opened a flow at an upstream.
+type Opening struct {
+	At      time.Time
+	Caller  netip.AddrPort
+	Service netip.AddrPort
+	// Copy is the number of the packet among the caller's copies.
+	Copy int
+}
+
+// Stray is a packet of a flow that the upstream does not hold.
+type Stray struct {
+	At     time.Time
+	Caller netip.AddrPort
 }
 
 // NewUpstream starts an upstream at a loopback address.
@@ -49,7 +76,7 @@
 		return nil, err
 	}
 	u := &Upstream{
-		Name: fmt.Sprintf("i-%08x", id), ID: id, conn: conn, flows: make(map[netip.AddrPort]uint32), ran: make(map[string]int),
+		Name: fmt.Sprintf("i-%08x", id), ID: id, conn: conn, flows: make(map[netip.AddrPort]*upstreamFlow), ran: make(map[string]int),
 		Registration: Registration{
 			Service: service, Addr: conn.LocalAddr().String(), Zone: zone, Version: "v1", Slots: 2, State: "ready",
 			Seq: 1, Born: time.Now().UnixMilli(),
@@ -69,16 +96,51 @@
 func (u *Upstream) Opened() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.opened
+	return len(u.opened)
 }
 
-// Misses returns the number of packets that were meant for another upstream or changed on the way.
+// Openings returns the openings of flows so far.
+func (u *Upstream) Openings() []Opening {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Clone(u.opened)
+}
+
+// Strays returns the packets so far of flows that are not held here.
+func (u *Upstream) Strays() []Stray {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Clone(u.strays)
+}
+
+// Runs returns how often each request ran.
+func (u *Upstream) Runs() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return maps.Clone(u.ran)
+}
+
+// Misses returns the number of packets that were meant for another upstream.
 func (u *Upstream) Misses() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.misses
 }
 
+// Broken returns the number of packets that were changed on the way.
+func (u *Upstream) Broken() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.broken
+}
+
+// Leave makes the upstream end each flow with its next answer.
+func (u *Upstream) Leave() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.leaving = true
+}
+
 // Ran returns how often a request ran.
 func (u *Upstream) Ran(request string) int {
 	u.mu.Lock()
@@ -102,35 +164,49 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if len(b) < targetSize {
-		u.misses++
+		u.broken++
 		return
 	}
 	id := binary.BigEndian.Uint64(b)
 	p, whole := decode(b[targetSize:])
-	if !whole || id != 0 && id != u.ID {
+	if !whole {
+		u.broken++
+		return
+	}
+	if id != 0 && id != u.ID {
 		u.misses++
 		return
 	}
 	back := packet{src: p.dst, dst: p.src, echo: p.echo, flags: ack}
-	next, open := u.flows[p.src]
+	f := u.flows[p.src]
 	switch {
 	case p.flags&syn != 0:
-		u.flows[p.src] = p.seq + 1
-		if !open {
-			u.opened++
+		if f == nil {
+			f = &upstreamFlow{next: p.seq + 1}
+			u.flows[p.src] = f
+			u.opened = append(u.opened, Opening{time.Now(), p.src, p.dst, int(p.ack)})
+		}
+		if f.next != p.seq+1 || f.ended {
+			return
 		}
 		back.flags, back.seq, back.ack = syn|ack, uint32(u.ID), p.seq+1
-	case !open:
+	case f == nil:
+		u.strays = append(u.strays, Stray{time.Now(), p.src})
+		back.flags, back.seq = rst, p.ack
+	case len(p.data) > 0 && f.ended:
 		back.flags, back.seq = rst, p.ack
 	case len(p.data) > 0:
-		if p.seq == next {
-			u.flows[p.src] = next + uint32(len(p.data))
+		if p.seq == f.next {
+			f.next += uint32(len(p.data))
 			u.ran[string(p.data)]++
 		}
 		back.seq, back.ack = p.ack, p.seq+uint32(len(p.data))
 		back.data = []byte(u.Name + " " + string(p.data))
+		if u.leaving {
+			back.flags |= fin
+		}
 	case p.flags&fin != 0:
-		delete(u.flows, p.src)
+		f.ended = true
 		back.flags, back.seq, back.ack = fin|ack, p.ack, p.seq+1
 	default:
 		return
