soak: real processes under faults chosen by a seed

Package soak starts mimosad-dsr (platform path) or mimosad with mimosactl (the product's own path) as processes on loopback addresses, puts loopback proxies between them and the store, their contacts and the upstreams, and plays a schedule that depends on the seed only: kills, pauses, planned stops, changed settings, links that are slow, cut one way or both, reset, refused or silent, outages, lapses and lost history of the store, upstreams that crash, drain, come back or lose their address, configurations singly and in bursts. What callers and upstreams saw is judged by the platform's rules, with its bounds.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: test (what CI runs), demo, measure, capacity, bench, build, lint, race, link, fuzz, clean.
+# Targets: test (what CI runs), demo, soak, measure, capacity, bench, build, lint, race, link, fuzz, clean.
 GO ?= go
 PROGRAMS := mimosad mimosad-dsr mimosactl mimosa-standin
 
@@ -9,7 +9,11 @@
 	platform:FuzzPacket platform:FuzzRegistration platform:FuzzConfiguration platform:FuzzSettings
 FUZZ_COUNT := 20000x
 
-.PHONY: build test lint race sessions link fuzz bench demo measure capacity clean
+# The first seed of `make soak` and the number of seeds on each of the two paths.
+SEED := 1
+SEEDS := 1
+
+.PHONY: build test lint race sessions link fuzz bench demo soak measure capacity clean
 
 build:
 	CGO_ENABLED=1 $(GO) build -o bin/ ./cmd/...
@@ -41,6 +45,11 @@
 demo: build
 	scripts/demo.sh
 
+# Runs the programs under random faults on both paths; fresh seeds: make soak SEED=n SEEDS=m.
+soak: build
+	bin/mimosa-soak --seed $(SEED) --seeds $(SEEDS)
+	bin/mimosa-soak --seed $(SEED) --seeds $(SEEDS) --product
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
--- /dev/null
+++ b/cmd/mimosa-soak/main.go
@@ -0,0 +1,101 @@
+// Command mimosa-soak runs the programs under random faults and checks their promises.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"mimosashore.example/mimosashore/internal/buildinfo"
+	"mimosashore.example/mimosashore/internal/cmdline"
+	"mimosashore.example/mimosashore/internal/soak"
+)
+
+// arguments are the command line.
+type arguments struct {
+	Seed     uint64        `arg:"--seed" default:"1" help:"first seed"`
+	Seeds    uint64        `arg:"--seeds" default:"1" help:"number of seeds, one after the other"`
+	Length   time.Duration `arg:"--length" default:"60s" help:"length of a run"`
+	Hosts    int           `arg:"--hosts" default:"4" help:"number of host processes"`
+	Callers  int           `arg:"--callers" default:"24" help:"number of callers"`
+	Product  bool          `arg:"--product" help:"play the product's own path in place of the platform's"`
+	Examples string        `arg:"--examples" default:"examples" placeholder:"DIR" help:"directory of the example deployments"`
+	Programs string        `arg:"--programs" default:"bin" placeholder:"DIR" help:"directory of the programs"`
+	Keep     string        `arg:"--keep" placeholder:"DIR" help:"directory for the logs of runs; by default only those of failed ones are kept, in a temporary one"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "Runs host processes under faults chosen by a seed, and checks what callers and upstreams see."
+}
+
+// Version is shown by --version.
+func (arguments) Version() string { return buildinfo.Version("mimosa-soak") }
+
+func main() {
+	var args arguments
+	cmdline.MustParse(&args)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := args.run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "mimosa-soak:", err)
+		os.Exit(1)
+	}
+}
+
+// run plays the seeds; the error names how many failed.
+func (a *arguments) run(ctx context.Context) error {
+	dir := a.Keep
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "mimosa-soak"); err != nil {
+			return eris.Wrap(err, "no directory for logs")
+		}
+	}
+	failed := 0
+	for seed := a.Seed; seed < a.Seed+a.Seeds && ctx.Err() == nil; seed++ {
+		ok, err := a.play(ctx, seed, filepath.Join(dir, fmt.Sprint(seed)))
+		if err != nil {
+			return eris.Wrapf(err, "seed %d could not be played", seed)
+		}
+		if !ok {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return eris.Errorf("%d of %d seeds failed, logs are in %s", failed, a.Seeds, dir)
+	}
+	return nil
+}
+
+// play plays one seed and reports whether all promises were kept.
+func (a *arguments) play(ctx context.Context, seed uint64, dir string) (bool, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return false, eris.Wrap(err, "no directory for logs")
+	}
+	lines, err := os.Create(filepath.Join(dir, "faults.log"))
+	if err != nil {
+		return false, eris.Wrap(err, "no file for the faults")
+	}
+	defer lines.Close()
+	report, err := soak.Run(ctx, soak.Options{
+		Seed: seed, Length: a.Length, Hosts: a.Hosts, Callers: a.Callers, Product: a.Product, Programs: a.Programs, Examples: a.Examples, Dir: dir,
+		Log: func(format string, args ...any) {
+			fmt.Fprintf(lines, time.Now().Format("15:04:05.000 ")+format+"\n", args...)
+		},
+	})
+	if err != nil {
+		return false, err
+	}
+	fmt.Println(report)
+	if len(report.Failures) == 0 && a.Keep == "" {
+		return true, eris.Wrap(os.RemoveAll(dir), "logs can't be removed")
+	}
+	return len(report.Failures) == 0, nil
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,70 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// programs is the directory of the programs under test.
+var programs string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		panic(err)
+	}
+	programs = dir
+	build := exec.Command("go", "build", "-o", dir, "./cmd/mimosad", "./cmd/mimosad-dsr", "./cmd/mimosactl", "./cmd/mimosa-standin")
+	build.Dir = filepath.Join("..", "..")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// TestSoak plays short runs: fixed seeds, and each seed that ever failed with a line on its cause.
+func TestSoak(t *testing.T) {
+	for name, o := range map[string]Options{
+		"platform path":                 {Seed: 7, Length: 18 * time.Second},
+		"product's own path":            {Seed: 7, Length: 18 * time.Second, Product: true},
+		"a hang-up while a host starts": {Seed: 1, Length: 18 * time.Second},
+		"a copy of a first packet late": {Seed: 4, Length: 18 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o.Hosts, o.Callers, o.Programs, o.Examples, o.Dir, o.Log = 4, 16, programs, "../../examples", t.TempDir(), t.Logf
+			report, err := Run(t.Context(), o)
+			require.NoError(t, err)
+			t.Log(report)
+			require.Empty(t, report.Failures)
+			require.NotZero(t, report.Judged["served"])
+		})
+	}
+}
+
+func TestScheduleDependsOnTheSeedOnly(t *testing.T) {
+	schedule := func(seed uint64) []fault {
+		faults, length := newSchedule(rand.New(rand.NewPCG(seed, seed)), time.Minute, platformFaults)
+		for _, f := range faults {
+			if f.kind != changeConfig {
+				require.LessOrEqual(t, f.at+f.lasts, length-calmPhase, "a fault ends before the last calm: %s", f)
+			}
+		}
+		return faults
+	}
+	require.Equal(t, schedule(3), schedule(3))
+	require.NotEqual(t, schedule(3), schedule(4))
+}
+
+func TestRunRefusesSizesThatCantBeRun(t *testing.T) {
+	_, err := Run(t.Context(), Options{Hosts: 0, Callers: 1})
+	require.Error(t, err)
+}
--- a/internal/standin/dsrworld/upstream.go
+++ b/internal/standin/dsrworld/upstream.go
@@ -43,8 +43,10 @@
 	broken int
 	// leaving ends each flow with its next answer.
 	leaving bool
-	opened  []Opening
-	strays  []Stray
+	// work is the time from a request to its answer.
+	work   time.Duration
+	opened []Opening
+	strays []Stray
 }
 
 // upstreamFlow is a flow that the upstream took. Ended ones are remembered, since copies of their packets can come late.
@@ -134,6 +136,13 @@
 	return u.broken
 }
 
+// SetWork sets the time from a request to its answer.
+func (u *Upstream) SetWork(work time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.work = work
+}
+
 // Leave makes the upstream end each flow with its next answer.
 func (u *Upstream) Leave() {
 	u.mu.Lock()
@@ -211,7 +220,15 @@
 	default:
 		return
 	}
-	to := netip.AddrPortFrom(p.src.Addr(), port)
+	answer, to := back.encode(), netip.AddrPortFrom(p.src.Addr(), port)
+	if len(back.data) > 0 && u.work > 0 {
+		time.AfterFunc(u.work, func() { u.send(answer, to) })
+		return
+	}
+	u.send(answer, to)
+}
+
+func (u *Upstream) send(b []byte, to netip.AddrPort) {
 	// A lost packet is sent again by the caller.
-	_, _ = u.conn.WriteToUDPAddrPort(back.encode(), to)
+	_, _ = u.conn.WriteToUDPAddrPort(b, to)
 }
