dsr: hosts that start together choose apart

Cause: the choice among equal upstreams began at the same place on all hosts, since the turn started at zero. Where many hosts start together and know no load, their first flows went to the same upstreams.

Ruled out: the window (each host alone stayed within it), doubts (none noted), the zone preference (all zones alike).

Change: the core takes a seed for the order of its choices, the hash of the host's data address; the step between two turns is a 64-bit one.

Test that failed first: TestHostsThatStartTogetherChooseApart; 100 hosts gave 100 first flows to one of 60 upstreams, where ten are shed; now at most ten.

--- a/internal/dsr/apply_test.go
+++ b/internal/dsr/apply_test.go
@@ -27,7 +27,7 @@
 	require.Equal(t, Drop, f.caller(81).open().Action, "the store is down")
 	f.core.PeerAnswered(f.now, 100*time.Millisecond)
 	require.Equal(t, Reset, f.caller(81).open().Action, "another host hears from the store")
-	empty := New("a", testFormat{})
+	empty := New("a", testFormat{}, 0)
 	g := &fixture{t: t, core: empty, now: f.now}
 	require.Equal(t, Drop, g.caller(81).open().Action, "nothing is known yet")
 }
--- a/internal/dsr/bench_test.go
+++ b/internal/dsr/bench_test.go
@@ -70,13 +70,13 @@
 		b.Run(fmt.Sprintf("full/%d", size), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				c := New("a", testFormat{})
+				c := New("a", testFormat{}, 0)
 				c.Apply(time.Second, full)
 				c.TakeRecords()
 			}
 		})
 		b.Run(fmt.Sprintf("change/%d", size), func(b *testing.B) {
-			c := New("a", testFormat{})
+			c := New("a", testFormat{}, 0)
 			c.Apply(time.Second, full)
 			one := full.Upstreams[size/2]
 			b.ReportAllocs()
@@ -96,7 +96,7 @@
 		b.Run(fmt.Sprintf("upstreams/%d", size), func(b *testing.B) {
 			for b.Loop() {
 				before := liveBytes()
-				c := New("a", testFormat{})
+				c := New("a", testFormat{}, 0)
 				c.Apply(time.Second, fullDirectory(size))
 				c.TakeRecords()
 				c.records = nil
@@ -147,7 +147,7 @@
 func BenchmarkReplacement(b *testing.B) {
 	for _, size := range []int{150, 15000, 91000} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
-			c := New("a", testFormat{})
+			c := New("a", testFormat{}, 0)
 			full := fullDirectory(size)
 			c.Apply(time.Second, full)
 			now, revision, one := time.Second, full.At, full.Upstreams[size/2]
--- a/internal/dsr/choose.go
+++ b/internal/dsr/choose.go
@@ -19,6 +19,8 @@
 	// otherZoneLoad is the load, in requests, by which an upstream of the host's
 	// own zone may be busier: two for each of two slots, a wait within what callers want.
 	otherZoneLoad = 4.0
+	// goldenStep spreads successive turns evenly: 2^64 over the golden ratio.
+	goldenStep = 0x9e3779b97f4a7c15
 	// doubtLoad is the load that puts a doubtful upstream behind all others.
 	doubtLoad = 1e6
 )
@@ -44,7 +46,7 @@
 	c.turn++
 	best := math.MaxFloat64
 	full := 0
-	start := int((uint64(c.turn) * 0x9e3779b9) % uint64(len(s.upstreams)))
+	start := int(((c.turn * goldenStep) >> 32) % uint64(len(s.upstreams)))
 	for i := range s.upstreams {
 		u := s.upstreams[(start+i)%len(s.upstreams)]
 		if !u.usable() {
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -64,16 +64,18 @@
 	// head is the header of the packet at hand.
 	head Packet
 	// turn varies the choice among equals.
-	turn uint32
+	turn uint64
 
 	records []Record
 	samples []Sample
 }
 
-// New returns the core of a host in an availability zone.
-func New(zoneName string, format Format) *Core {
+// New returns the core of a host in an availability zone. Hosts with different
+// seeds choose in different orders among equals, also when they start together.
+func New(zoneName string, format Format, seed uint64) *Core {
 	return &Core{
 		zone:     zoneName,
+		turn:     seed,
 		format:   format,
 		cache:    newFlowCache(),
 		byKey:    make(map[string]*upstream),
--- a/internal/dsr/core_test.go
+++ b/internal/dsr/core_test.go
@@ -1,11 +1,15 @@
 package dsr
 
 import (
+	"encoding/binary"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"mimosashore.example/mimosashore/internal/directory"
 )
 
 func TestTokensRouteWithoutTheFlow(t *testing.T) {
@@ -154,3 +158,24 @@
 	}
 	require.Equal(t, len(f.core.cache.flows), f.core.cache.used.Len())
 }
+
+// Hosts that start together know of no load. An upstream with two slots and a
+// queue of eight sheds what more than ten of them send there at once.
+func TestHostsThatStartTogetherChooseApart(t *testing.T) {
+	const hosts, upstreams, most = 100, 60, 10
+	chosen := make(map[uint64]int)
+	for seed := range uint64(hosts) {
+		core := New("a", testFormat{}, xxhash.Sum64(binary.BigEndian.AppendUint64(nil, seed)))
+		ch := &directory.Change{Full: true, Asked: time.Second, At: 10, Configuration: configuration(1)}
+		for n := 1; n <= upstreams; n++ {
+			ch.Upstreams = append(ch.Upstreams, upstreamOf(n, "orders", "a"))
+		}
+		f := &fixture{t: t, core: core, now: time.Second, rev: 10}
+		core.StoreAnswered(f.now)
+		core.Apply(f.now, ch)
+		chosen[f.upstream(f.opened(orderPort)).ID]++
+	}
+	for id, n := range chosen {
+		require.LessOrEqual(t, n, most, "upstream %d", id)
+	}
+}
--- a/internal/dsr/fixture_test.go
+++ b/internal/dsr/fixture_test.go
@@ -88,7 +88,7 @@
 
 // newFixture returns a core in zone a with two upstreams of a service in each of the zones a, b and c.
 func newFixture(t *testing.T) *fixture {
-	f := &fixture{t: t, core: New("a", testFormat{}), now: time.Second, rev: 10}
+	f := &fixture{t: t, core: New("a", testFormat{}, 0), now: time.Second, rev: 10}
 	ch := &directory.Change{Full: true, Asked: f.now, At: f.rev, Configuration: configuration(1)}
 	for n := 1; n <= 6; n++ {
 		ch.Upstreams = append(ch.Upstreams, upstreamOf(n, "orders", string("abc"[(n-1)/2])))
--- a/internal/dsrhost/decide.go
+++ b/internal/dsrhost/decide.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"mimosashore.example/mimosashore/internal/dsr"
@@ -33,7 +34,7 @@
 		return
 	}
 	d := &decider{
-		host: h, core: dsr.New(h.settings.Zone, h.parts.Format), writer: writer,
+		host: h, core: dsr.New(h.settings.Zone, h.parts.Format, xxhash.Sum64String(h.settings.Data.String())), writer: writer,
 		out: make([]netio.Datagram, 1), log: newRecordLog(h.parts.Logger, h.parts.Lines),
 	}
 	ticker := time.NewTicker(tickInterval)
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -31,6 +31,8 @@
 	// contactsMost is the number of contacts in the settings.
 	contactsMost = 3
 	probers      = 8
+	// muteTime is how long watches hear nothing before the history goes.
+	muteTime = time.Second
 	// signalsAfter is the time from a start to the first signal: before it, the
 	// language's runtime has no handlers and any signal ends the process.
 	signalsAfter = 100 * time.Millisecond
@@ -214,6 +216,8 @@
 		w.operator.fail(ctx, f.lasts, f.kind == storeLapse)
 	case storeForget:
 		defer w.record.disturb("store", false)()
+		w.store.Mute()
+		rest(ctx, muteTime)
 		w.store.Forget()
 	case storeLink:
 		w.setLinks(ctx, []*host{h}, f)
--- a/internal/standin/dsrworld/store.go
+++ b/internal/standin/dsrworld/store.go
@@ -33,8 +33,11 @@
 	// forgotten is the last revision that the history no longer holds.
 	forgotten uint64
 	down      bool
-	changed   chan struct{}
-	calls     int
+	// deaf is set while watches are told nothing after the revision deafAt.
+	deaf    bool
+	deafAt  uint64
+	changed chan struct{}
+	calls   int
 }
 
 // NewStore starts a store on a loopback address.
@@ -62,14 +65,29 @@
 	s.wake()
 }
 
-// Forget drops the history, as a compaction does.
+// Mute makes watches hear nothing of what is written from now on.
+func (s *Store) Mute() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf, s.deafAt = true, s.revision
+}
+
+// Forget drops the history, as a compaction does, and ends a mute.
 func (s *Store) Forget() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.history, s.forgotten = nil, s.revision
+	s.history, s.forgotten, s.deaf = nil, s.revision, false
 	s.wake()
 }
 
+// told returns the revision up to which watches are told. The lock is held.
+func (s *Store) told() uint64 {
+	if s.deaf {
+		return s.deafAt
+	}
+	return s.revision
+}
+
 // Calls returns the number of calls so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -178,12 +196,12 @@
 		}
 		events := []entry{}
 		for _, e := range s.history {
-			if e.Revision > after && strings.HasPrefix(e.Key, query.Get("prefix")) {
+			if e.Revision > after && e.Revision <= s.told() && strings.HasPrefix(e.Key, query.Get("prefix")) {
 				events = append(events, e)
 			}
 		}
 		if len(events) > 0 {
-			s.answer(w, map[string]any{"events": events, "asOf": s.revision})
+			s.answer(w, map[string]any{"events": events, "asOf": max(after, s.told())})
 			return
 		}
 		changed, late := s.changed, false
@@ -201,7 +219,7 @@
 			return
 		}
 		if late {
-			s.answer(w, map[string]any{"events": events, "asOf": s.revision})
+			s.answer(w, map[string]any{"events": events, "asOf": max(after, s.told())})
 			return
 		}
 	}
