dsrpeer: a link ends when an update can't be passed on

Cause: an update that could not be encoded was logged and left out, and the next one was sent; the follower then had a directory with a hole and did not know.

Ruled out: the receiving side (it refuses updates that can't be read and ends the link).

Change: the link ends; the follower follows anew and gets the whole directory. Timeouts of links and headers name their origin.

Test that failed first: TestUpdateThatCantBePassedOnEndsTheLink; the follower had 2 of 3 items before.

--- a/internal/dsrhost/ready.go
+++ b/internal/dsrhost/ready.go
@@ -11,7 +11,7 @@
 	"github.com/rotisserie/eris"
 )
 
-// headerTimeout is the longest wait for the header of a request.
+// headerTimeout is the longest wait for the header of a request: a lost packet is sent again within a second.
 const headerTimeout = 2 * time.Second
 
 // readyPath is the path at which the fabric asks whether the host takes traffic.
--- a/internal/dsrpeer/peer.go
+++ b/internal/dsrpeer/peer.go
@@ -24,7 +24,8 @@
 // Times of the links.
 const (
 	// dialTimeout is the longest wait for a host to accept a link: a cut host gives no answer.
-	dialTimeout  = 400 * time.Millisecond
+	dialTimeout = 400 * time.Millisecond
+	// writeTimeout ends a link whose other side takes nothing: it would miss two messages and give the link up itself.
 	writeTimeout = time.Second
 	// newsInterval is the longest time between two messages to a follower.
 	newsInterval = 400 * time.Millisecond
@@ -43,6 +44,7 @@
 	followRetry = 300 * time.Millisecond
 	// checkInterval is how often a host looks whether it needs the directory from others.
 	checkInterval = 100 * time.Millisecond
+	// headerTimeout is the longest wait for the header of a request: a lost packet is sent again within a second.
 	headerTimeout = 2 * time.Second
 	// maxFollowers bounds the links that other hosts hold to this one.
 	maxFollowers = 64
@@ -93,6 +95,7 @@
 
 	// The last encoded update, with what it leads to.
 	mu        sync.Mutex
+	encode    func(replica.Update) ([]byte, error)
 	lastAt    store.Revision
 	lastFull  bool
 	lastBytes []byte
@@ -118,7 +121,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "control address can't be listened on")
 	}
-	return &Peer{settings: s, book: newBook(s.Control, s.Zone, s.Contacts), listener: l}, nil
+	return &Peer{settings: s, book: newBook(s.Control, s.Zone, s.Contacts), listener: l, encode: encodeUpdate}, nil
 }
 
 // SetContacts replaces the contacts after a change of the settings.
--- a/internal/dsrpeer/peer_test.go
+++ b/internal/dsrpeer/peer_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
@@ -92,6 +93,29 @@
 	require.Len(t, snapshot.Events, 2)
 }
 
+// A follower must not go on with the next update after one that it did not get.
+func TestUpdateThatCantBePassedOnEndsTheLink(t *testing.T) {
+	a := start(t)
+	a.Peer.mu.Lock()
+	a.encode = func(u replica.Update) ([]byte, error) {
+		if !u.Full && u.At == 12 {
+			return nil, eris.New("too large")
+		}
+		return encodeUpdate(u)
+	}
+	a.Peer.mu.Unlock()
+	a.replica.Take(replica.Update{Full: true, At: 10, Events: []store.Event{write1("x", 3)}})
+	b := start(t, a.settings.Control)
+	b.needed.Store(true)
+	require.Eventually(t, func() bool { return b.replica.At() == 10 }, 5*time.Second, 5*time.Millisecond)
+	a.replica.Take(replica.Update{At: 12, Events: []store.Event{write1("y", 12)}})
+	a.replica.Take(replica.Update{At: 13, Events: []store.Event{write1("z", 13)}})
+	require.Eventually(t, func() bool { return b.replica.At() == 13 }, 5*time.Second, 5*time.Millisecond)
+	snapshot, s := b.replica.Subscribe()
+	b.replica.Unsubscribe(s)
+	require.Len(t, snapshot.Events, 3)
+}
+
 // The contact is gone when it is needed; the host it named before isn't.
 func TestHostsLearnOfEachOtherFromAContact(t *testing.T) {
 	contact := start(t)
--- a/internal/dsrpeer/serve.go
+++ b/internal/dsrpeer/serve.go
@@ -51,8 +51,12 @@
 	defer p.settings.Replica.Unsubscribe(updates)
 	p.settings.Log.Info("host follows this one", zap.Stringer("host", to), zap.Uint64("revision", uint64(snapshot.At)))
 	first := &news{Self: p.self(), Peers: p.book.names(p.settings.Now())}
+	var err error
 	if snapshot.At != 0 {
-		first.Update = p.encoded(snapshot)
+		if first.Update, err = p.encoded(snapshot); err != nil {
+			p.settings.Log.Error("link ended, the directory can't be passed on", zap.Stringer("host", to), zap.Error(err))
+			return
+		}
 	}
 	if p.send(ctx, ws, first) != nil {
 		return
@@ -68,7 +72,11 @@
 			if !ok {
 				return
 			}
-			n.Update = p.encoded(u)
+			// A follower that misses an update is wrong from then on; without the link it reads anew.
+			if n.Update, err = p.encoded(u); err != nil {
+				p.settings.Log.Error("link ended, an update can't be passed on", zap.Stringer("host", to), zap.Error(err))
+				return
+			}
 		case <-ticker.C:
 		}
 		if p.send(ctx, ws, n) != nil {
@@ -78,19 +86,18 @@
 }
 
 // encoded returns the encoded update; all followers get the same bytes.
-func (p *Peer) encoded(u replica.Update) []byte {
+func (p *Peer) encoded(u replica.Update) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.lastBytes != nil && p.lastAt == u.At && p.lastFull == u.Full {
-		return p.lastBytes
+		return p.lastBytes, nil
 	}
-	b, err := encodeUpdate(u)
+	b, err := p.encode(u)
 	if err != nil {
-		p.settings.Log.Error("update is not passed on", zap.Error(err))
-		return nil
+		return nil, err
 	}
 	p.lastAt, p.lastFull, p.lastBytes = u.At, u.Full, b
-	return b
+	return b, nil
 }
 
 func (p *Peer) send(ctx context.Context, ws *websocket.Conn, n *news) error {
