dsr: hand back what waits at a silent upstream

Ruled out: strain of the host's link (no line of it), verdicts that came too late (they stand 0.6 s after the crash), moved flows.

Change: when a request finds its upstream silent, the host also resets the other flows whose idempotent requests have waited there for 550 ms with no sign of life; orders stay. The core hands such resets out beside the effect of the packet at hand.

Tests that failed first: TestRequestsThatWaitAtASilentUpstreamAreHandedBack (no reset before); TestFreshRequestsStayAtASilentUpstream bounds it.

What is left: a host must see another request there to find it out.

--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -68,6 +68,8 @@
 
 	records []Record
 	samples []Sample
+	// resets are for flows other than that of the packet at hand.
+	resets []Packet
 }
 
 // New returns the core of a host in an availability zone. Hosts with different
--- a/internal/dsr/fixture_test.go
+++ b/internal/dsr/fixture_test.go
@@ -137,6 +137,11 @@
 	return &caller{f: f, id: f.next, port: port, seq: 100}
 }
 
+// address is the caller's end of the flow.
+func (c *caller) address() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, 0, c.id}), 4<<8|1)
+}
+
 func (c *caller) send(flags, copies byte, length int) Effect {
 	var b [24]byte
 	copy(b[:], []byte{100, 64, 0, c.id, 4, 1})
--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -11,6 +11,8 @@
 	silentFor = 550 * time.Millisecond
 	// silentRepeats is the number of repeats that this takes.
 	silentRepeats = 2
+	// stuckFor is how long ago a request may have been sent to be handed back: the longest time budget of the users' streams.
+	stuckFor = 4 * time.Second
 	// silentKeep is how long the verdict holds for the requests of other flows: half of the time
 	// after which the platform takes a trouble for past.
 	silentKeep = 2 * time.Second
@@ -117,9 +119,31 @@
 		if !u.isSilent(now) {
 			u.doubt.raise(now, f.progressAt)
 			c.note(Record{Event: "upstream is silent", Caller: f.key.caller, Upstream: u.Key, Service: u.Service, Age: now - u.reachedAt})
+			c.handBack(now, f)
 		}
 		u.silentAt = now
 		return true
 	}
 	return u.isSilent(now)
 }
+
+// handBack resets the other flows whose idempotent requests have waited at the
+// silent upstream of a flow for as long as the verdict takes. Where the upstream acknowledged the request before it died, the
+// caller sends no repeat on which the host could act.
+func (c *Core) handBack(now time.Duration, found *flow) {
+	u := found.upstream
+	var next *flow
+	for f := c.cache.used.First(); f != nil; f = next {
+		next = f.recent.Next()
+		if f == found || f.upstream != u || !f.pending || f.phase == phaseClosed || now-max(f.progressAt, f.judgedAt) < silentFor {
+			continue
+		}
+		if f.route == nil || !f.route.Idempotent || now-f.seenAt > stuckFor {
+			continue
+		}
+		p := Packet{Caller: f.key.caller, Service: f.key.service, Ack: f.answered, Token: u.token}
+		c.noteReset(now, &p, u, ReasonUpstreamSilent)
+		c.resets = append(c.resets, p)
+		c.cache.drop(f)
+	}
+}
--- a/internal/dsr/record.go
+++ b/internal/dsr/record.go
@@ -61,3 +61,11 @@
 }
 
 func (c *Core) note(r Record) { c.records = append(c.records, r) }
+
+// TakeResets returns the flows to reset since the last call beside that of the
+// packet at hand, each as the header of its last packet. They are valid until the next call of the core.
+func (c *Core) TakeResets() []Packet {
+	r := c.resets
+	c.resets = c.resets[:0]
+	return r
+}
--- a/internal/dsr/silence_test.go
+++ b/internal/dsr/silence_test.go
@@ -23,6 +23,47 @@
 	require.Equal(t, Forward, order.repeat().Action)
 }
 
+// An upstream that dies has acknowledged what it works on, so that callers repeat
+// nothing and wait until their time is over. What another flow found out helps them.
+func TestRequestsThatWaitAtASilentUpstreamAreHandedBack(t *testing.T) {
+	f := newFixture(t)
+	c := f.opened(streamPort)
+	waiting, order, idle := f.openedBeside(c, streamPort), f.openedBeside(c, orderPort), f.openedBeside(c, streamPort)
+	f.pass(time.Second, nil)
+	waiting.request()
+	order.request()
+	f.pass(50*time.Millisecond, f.upstream(c))
+	c.request()
+	f.pass(200*time.Millisecond, f.upstream(c))
+	require.Equal(t, Forward, c.repeat().Action)
+	require.Empty(t, f.core.TakeResets())
+	f.pass(400*time.Millisecond, f.upstream(c))
+	require.Equal(t, Reset, c.repeat().Action)
+	resets := f.core.TakeResets()
+	require.Len(t, resets, 1, "an order may have run, and an idle flow waits for nothing")
+	require.Equal(t, waiting.address(), resets[0].Caller)
+	require.Equal(t, waiting.ack, resets[0].Ack)
+	require.Empty(t, f.core.TakeResets())
+	require.Equal(t, Forward, order.repeat().Action)
+	require.NotEqual(t, c.address(), idle.address())
+}
+
+// A request that has not waited long is not taken away.
+func TestFreshRequestsStayAtASilentUpstream(t *testing.T) {
+	f := newFixture(t)
+	c := f.opened(streamPort)
+	fresh := f.openedBeside(c, streamPort)
+	f.pass(time.Second, nil)
+	c.request()
+	f.pass(200*time.Millisecond, f.upstream(c))
+	require.Equal(t, Forward, c.repeat().Action)
+	f.pass(200*time.Millisecond, f.upstream(c))
+	fresh.request()
+	f.pass(200*time.Millisecond, f.upstream(c))
+	require.Equal(t, Reset, c.repeat().Action)
+	require.Empty(t, f.core.TakeResets())
+}
+
 // On a saturated link nothing comes back from any upstream; that says nothing
 // of the upstreams, and a reset would end flows that they still serve.
 func TestNoResetWhileTheHostItselfIsCutOff(t *testing.T) {
--- a/internal/dsrhost/decide.go
+++ b/internal/dsrhost/decide.go
@@ -77,10 +77,19 @@
 		format.PutTarget(p.buffer[:space], e.ID)
 		d.send(p.buffer[:space+p.size], e.To)
 	case dsr.Reset:
-		d.reset = format.AppendReset(d.reset[:0], head)
-		// Packets to callers go to the fabric's port for packets.
-		d.send(d.reset, netip.AddrPortFrom(head.Caller.Addr(), d.host.settings.Data.Port()))
+		d.sendReset(head)
 	}
+	for _, r := range d.core.TakeResets() {
+		d.host.stats.handedBack.Inc()
+		d.sendReset(&r)
+	}
+}
+
+// sendReset resets the flow of a packet.
+func (d *decider) sendReset(head *dsr.Packet) {
+	d.reset = d.host.parts.Format.AppendReset(d.reset[:0], head)
+	// Packets to callers go to the fabric's port for packets.
+	d.send(d.reset, netip.AddrPortFrom(head.Caller.Addr(), d.host.settings.Data.Port()))
 }
 
 func (d *decider) send(b []byte, to netip.AddrPort) {
--- a/internal/dsrhost/stats.go
+++ b/internal/dsrhost/stats.go
@@ -14,14 +14,14 @@
 
 // stats are the metrics of a host.
 type stats struct {
-	set                        *metrics.Set
-	received, ringFull         *metrics.Counter
-	sendFailed, malformedItems *metrics.Counter
-	unfinished                 *metrics.Counter
-	handshakes, answers        *metrics.Histogram
-	storeResults               map[string]*metrics.Counter
-	packets                    map[dsr.Effect]*metrics.Counter
-	flows, version, age        atomic.Int64
+	set                                    *metrics.Set
+	received, ringFull                     *metrics.Counter
+	sendFailed, malformedItems, handedBack *metrics.Counter
+	unfinished                             *metrics.Counter
+	handshakes, answers                    *metrics.Histogram
+	storeResults                           map[string]*metrics.Counter
+	packets                                map[dsr.Effect]*metrics.Counter
+	flows, version, age                    atomic.Int64
 }
 
 // The operations of the store as metrics name them.
@@ -38,6 +38,7 @@
 		received:       set.NewCounter("mimosashore_dsr_received_packets_total"),
 		ringFull:       set.NewCounter("mimosashore_dsr_ring_overflows_total"),
 		sendFailed:     set.NewCounter("mimosashore_dsr_failed_sends_total"),
+		handedBack:     set.NewCounter("mimosashore_dsr_handed_back_total"),
 		malformedItems: set.NewCounter("mimosashore_dsr_malformed_items_total"),
 		unfinished:     set.NewCounter("mimosashore_dsr_unfinished_handshakes_total"),
 		handshakes:     set.NewHistogram("mimosashore_dsr_handshake_seconds"),
