--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -27,6 +27,8 @@
 	sheetsService = "sheets"
 )
 
+var services = []string{ordersService, movedService, feedService, sheetsService}
+
 const (
 	// probeVersions is the number of versions that hold the probe address of a version.
 	probeVersions = 2
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"sync"
-	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"mimosashore.example/mimosashore/internal/standin/dsrworld"
 )
 
@@ -30,7 +30,9 @@
 	applyGrown  = 5 * time.Second
 	// contactsMost is the number of contacts in the settings.
 	contactsMost = 3
-	probers      = 8
+	// slotsPerService is the number of upstreams of a service; faults leave leastReady of them.
+	slotsPerService = 4
+	probers         = 8
 	// muteTime is how long watches hear nothing before the history goes.
 	muteTime = time.Second
 	// signalsAfter is the time from a start to the first signal: before it, the
@@ -67,10 +69,14 @@
 	if err := w.startAll(ctx); err != nil {
 		return nil, err
 	}
-	w.startTraffic(ctx, random.IntN(2) == 0)
+	w.rotation = newRotation(w.hosts, random.IntN(2) == 0)
+	w.running.Go(func() { w.rotation.run(ctx) })
 	if err := w.awaitRotation(ctx); err != nil {
 		return nil, err
 	}
+	if err := w.startCallers(ctx); err != nil {
+		return nil, err
+	}
 	w.began = time.Now()
 	playFaults(ctx, faults, w.began, o.Log, w.record, w.inject)
 	rest(ctx, time.Until(w.began.Add(length)))
@@ -92,8 +98,8 @@
 	}
 	w.operator = newOperator(w.store, w.record, w.deploy.zones)
 	w.operator.configure(false)
-	for _, s := range []string{ordersService, movedService, feedService, sheetsService} {
-		for range 4 {
+	for _, s := range services {
+		for range slotsPerService {
 			if err := w.operator.addSlot(s, p.data); err != nil {
 				return err
 			}
@@ -123,6 +129,7 @@
 	return nil
 }
 
+// startAll starts all hosts and the heartbeats of the upstreams.
 func (w *world) startAll(ctx context.Context) error {
 	for _, h := range w.hosts {
 		if err := w.startHost(h); err != nil {
@@ -155,12 +162,7 @@
 	}
 }
 
-func (w *world) startTraffic(ctx context.Context, spray bool) {
-	w.rotation = newRotation(w.hosts, spray)
-	w.running.Go(func() { w.rotation.run(ctx) })
-}
-
-// awaitRotation waits until all hosts are in rotation, and starts the callers.
+// awaitRotation waits until all hosts are in rotation.
 func (w *world) awaitRotation(ctx context.Context) error {
 	deadline := time.Now().Add(readyWithin)
 	for i := 0; i < len(w.hosts); {
@@ -168,11 +170,16 @@
 		case w.rotation.ready(i):
 			i++
 		case time.Now().After(deadline):
-			return fmt.Errorf("%s was not ready within %s", w.hosts[i].name, readyWithin)
+			return eris.Errorf("%s was not ready within %s", w.hosts[i].name, readyWithin)
 		default:
 			rest(ctx, askInterval/10)
 		}
 	}
+	return nil
+}
+
+// startCallers starts those that ask and those that probe single hosts.
+func (w *world) startCallers(ctx context.Context) error {
 	kinds := []client{
 		{service: ordersRoute},
 		{service: feedRoute, idempotent: true, long: true},
@@ -196,146 +203,6 @@
 	return nil
 }
 
-func (w *world) inject(ctx context.Context, f fault) error {
-	h := w.hosts[f.pick%len(w.hosts)]
-	switch f.kind {
-	case hostKill:
-		return w.killHost(ctx, h, f.lasts)
-	case hostPause:
-		return w.pauseHost(ctx, h, f.lasts)
-	case hostStop:
-		return w.rollHost(ctx, h)
-	case hostReload:
-		return w.reloadHost(ctx, h, f)
-	case hostsKill:
-		return each(w.hosts, func(h *host) error { return w.killHost(ctx, h, f.lasts) }, false)
-	case hostsRoll:
-		return each(w.hosts, func(h *host) error { return w.rollHost(ctx, h) }, true)
-	case storeDown, storeLapse:
-		defer w.record.disturb("store", false)()
-		w.operator.fail(ctx, f.lasts, f.kind == storeLapse)
-	case storeForget:
-		defer w.record.disturb("store", false)()
-		w.store.Mute()
-		rest(ctx, muteTime)
-		w.store.Forget()
-	case storeLink:
-		w.setLinks(ctx, []*host{h}, f)
-	case storeLinks:
-		w.setLinks(ctx, w.hosts, f)
-	case contactLink:
-		w.setContact(ctx, w.hosts[f.pick%min(contactsMost, len(w.hosts))], f)
-	case changeConfig:
-		w.operator.configure(f.pick%2 == 0)
-	case changeBurst:
-		for range 5 {
-			w.operator.configure(false)
-			rest(ctx, 200*time.Millisecond)
-		}
-	case strangeEntry:
-		w.operator.strange(f.pick)
-	default:
-		return w.strikeUpstream(ctx, f)
-	}
-	return nil
-}
-
-func (w *world) killHost(ctx context.Context, h *host, down time.Duration) error {
-	h.busy.Lock()
-	defer h.busy.Unlock()
-	defer w.record.disturb(h.span(), false)()
-	h.kill()
-	w.noteEnd(h)
-	rest(ctx, down)
-	return w.startHost(h)
-}
-
-func (w *world) pauseHost(ctx context.Context, h *host, lasts time.Duration) error {
-	h.busy.Lock()
-	defer h.busy.Unlock()
-	defer w.record.disturb(h.span(), false)()
-	if err := h.signal(syscall.SIGSTOP, false); err != nil {
-		return err
-	}
-	rest(ctx, lasts)
-	return h.signal(syscall.SIGCONT, false)
-}
-
-func (w *world) rollHost(_ context.Context, h *host) error {
-	h.busy.Lock()
-	defer h.busy.Unlock()
-	defer w.record.disturb(h.span(), true)()
-	err := h.stop(stopWithin)
-	w.noteEnd(h)
-	if err != nil {
-		w.record.fail(err.Error())
-	}
-	return w.startHost(h)
-}
-
-// reloadHost changes the settings, for each third time to a file that can't be read.
-func (w *world) reloadHost(ctx context.Context, h *host, f fault) error {
-	h.busy.Lock()
-	defer h.busy.Unlock()
-	text := h.good
-	if f.pick%3 == 0 {
-		text = text[:len(text)/2]
-	}
-	if err := h.writeSettings(text); err != nil {
-		return err
-	}
-	if err := h.signal(syscall.SIGHUP, false); err != nil {
-		return err
-	}
-	rest(ctx, min(f.lasts, 200*time.Millisecond))
-	return h.writeSettings(h.good)
-}
-
-// setLinks harms the way of hosts to the store.
-func (w *world) setLinks(ctx context.Context, hosts []*host, f fault) {
-	for _, h := range hosts {
-		defer w.record.disturb(h.span(), false)()
-		h.store.set(f.mode)
-	}
-	rest(ctx, f.lasts)
-	for _, h := range hosts {
-		h.store.set(linkOpen)
-	}
-}
-
-func (w *world) setContact(ctx context.Context, h *host, f fault) {
-	defer w.record.disturb(h.span(), false)()
-	h.contact.set(f.mode)
-	rest(ctx, f.lasts)
-	h.contact.set(linkOpen)
-}
-
-func (w *world) strikeUpstream(ctx context.Context, f fault) error {
-	s := w.operator.take(f.pick)
-	if s == nil {
-		return nil
-	}
-	defer w.operator.give(s)
-	defer w.record.disturb(s.name, f.kind == upstreamDrain)()
-	services := []string{ordersService, movedService, feedService, sheetsService}
-	switch f.kind {
-	case upstreamCrash:
-		return w.operator.crash(ctx, s, f.lasts, s.life.service)
-	case upstreamReuse:
-		return w.operator.crash(ctx, s, reuseAfter, services[f.pick%len(services)])
-	case upstreamBack:
-		return w.operator.restart(ctx, s, f.lasts, f.pick%2 == 0)
-	case upstreamDrain:
-		return w.operator.drain(ctx, s)
-	case upstreamLink:
-		s.link.set(f.mode)
-		rest(ctx, f.lasts)
-		s.link.set(linkOpen)
-		return nil
-	}
-	return fmt.Errorf("fault %q is not known", f.kind)
-}
-
 // stopHosts ends the run with a planned stop of all hosts.
 func (w *world) stopHosts() {
 	var all sync.WaitGroup
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -99,6 +100,15 @@
 	return 0
 }
 
+// pause stops the process for a time.
+func (p *process) pause(ctx context.Context, lasts time.Duration) error {
+	if err := p.signal(syscall.SIGSTOP, false); err != nil {
+		return err
+	}
+	rest(ctx, lasts)
+	return p.signal(syscall.SIGCONT, false)
+}
+
 // kill ends the process at once and waits for its end.
 func (p *process) kill() {
 	// An error means that the process has ended.
--- a/internal/soak/product.go
+++ b/internal/soak/product.go
@@ -3,28 +3,22 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"mimosashore.example/mimosashore/internal/inifile"
-	"mimosashore.example/mimosashore/internal/standin/callers"
 	"mimosashore.example/mimosashore/internal/standin/platform"
-	"mimosashore.example/mimosashore/internal/standin/upstreamproc"
 	"mimosashore.example/mimosashore/internal/standin/verify"
 )
 
@@ -42,6 +36,8 @@
 	hostData    = 7400
 	hostControl = 7401
 	hostAdmin   = 7402
+	// firstRate is the request rate of the account in the example.
+	firstRate = 6000
 )
 
 const (
@@ -49,11 +45,10 @@
 	productStop = 10 * time.Second
 	// listedLeaving is how long a host is listed as leaving before its planned stop.
 	listedLeaving = 500 * time.Millisecond
-	// breakWithin is how long after an unplanned fault a flow may be found broken: callers give a silent flow up after 8 s.
+	// breakWithin is how long after an unplanned fault a flow may be found broken: callers give a silent flow up after 5 s.
 	breakWithin = 10 * time.Second
 	// callersLate is the longest that callers go on after the end of their traffic.
 	callersLate = 30 * time.Second
-	callTimeout = 5 * time.Second
 )
 
 // productHost is an entry host of the product's own path.
@@ -87,7 +82,7 @@
 // runProduct plays a run on the product's own path.
 func runProduct(ctx context.Context, o Options, random *rand.Rand) (*Report, error) {
 	faults, length := newSchedule(random, o.Length, productFaults)
-	w := &productWorld{options: o, net: fmt.Sprintf("127.%d.", 20+o.Seed%productNets), record: newRecord(), rate: 6000}
+	w := &productWorld{options: o, net: fmt.Sprintf("127.%d.", 20+o.Seed%productNets), record: newRecord(), rate: firstRate}
 	defer w.close()
 	if err := w.start(ctx, random); err != nil {
 		return nil, err
@@ -141,9 +136,9 @@
 	if err := w.startHosts(); err != nil {
 		return err
 	}
-	services := fmt.Sprintf("%s10.1:7300", w.net)
+	orders := fmt.Sprintf("%s10.1:7300", w.net)
 	bulk := fmt.Sprintf("%s10.2:7300", w.net)
-	if _, err := w.standin("fabric", "--listen", services, bulk, "--hosts", w.url(storePort)+"/hosts", "--delay", "1ms",
+	if _, err := w.standin("fabric", "--listen", orders, bulk, "--hosts", w.url(storePort)+"/hosts", "--delay", "1ms",
 		"--loss", fmt.Sprint(random.Float64()*0.01), "--duplicate", fmt.Sprint(random.Float64()*0.02), "--reorder", fmt.Sprint(random.Float64()*0.04)); err != nil {
 		return err
 	}
@@ -292,237 +287,6 @@
 	return err
 }
 
-func (w *productWorld) inject(ctx context.Context, f fault) error {
-	h := w.hosts[f.pick%len(w.hosts)]
-	switch f.kind {
-	case hostKill:
-		return w.killHost(ctx, h, f.lasts)
-	case hostsKill:
-		return each(w.hosts, func(h *productHost) error { return w.killHost(ctx, h, f.lasts) }, false)
-	case hostPause:
-		return w.pauseHost(ctx, h, f.lasts)
-	case hostStop:
-		return w.rollHost(ctx, h)
-	case hostsRoll:
-		return each(w.hosts, func(h *productHost) error { return w.rollHost(ctx, h) }, true)
-	case storeDown:
-		return w.storeFault(ctx, platform.Faults{Down: true}, f.lasts)
-	case storeSlow:
-		return w.storeFault(ctx, platform.Faults{Delay: slowDelay}, f.lasts)
-	case storeOld:
-		return w.storeFault(ctx, platform.Faults{OldReads: true}, f.lasts)
-	case storeDeaf:
-		return w.storeFault(ctx, platform.Faults{SilentWatch: true}, f.lasts)
-	case storeLink:
-		w.setLink(ctx, h, h.store, f)
-	case contactLink:
-		w.setLink(ctx, h, h.control, f)
-	case changeConfig:
-		return w.change()
-	case upstreamDrain:
-		return w.drain(f)
-	default:
-		return eris.Errorf("fault %q is not known", f.kind)
-	}
-	return nil
-}
-
-func (w *productWorld) killHost(ctx context.Context, h *productHost, down time.Duration) error {
-	h.busy.Lock()
-	defer h.busy.Unlock()
-	defer w.record.disturb(h.span(), false)()
-	h.kill()
-	rest(ctx, down/2)
-	if err := w.list(h, ""); err != nil {
-		return err
-	}
-	rest(ctx, down/2)
-	return w.restart(ctx, h)
-}
-
-// restart starts the process and lists it once it is ready. The platform may be
-// out meanwhile; the host is then not ready before it is back.
-func (w *productWorld) restart(ctx context.Context, h *productHost) error {
-	if err := h.start(); err != nil {
-		return err
-	}
-	if err := w.awaitHost(ctx, h); err != nil {
-		return err
-	}
-	return w.list(h, "live")
-}
-
-func (w *productWorld) pauseHost(ctx context.Context, h *productHost, lasts time.Duration) error {
-	h.busy.Lock()
-	defer h.busy.Unlock()
-	defer w.record.disturb(h.span(), false)()
-	if err := h.signal(syscall.SIGSTOP, false); err != nil {
-		return err
-	}
-	rest(ctx, lasts)
-	return h.signal(syscall.SIGCONT, false)
-}
-
-func (w *productWorld) rollHost(ctx context.Context, h *productHost) error {
-	h.busy.Lock()
-	defer h.busy.Unlock()
-	defer w.record.disturb(h.span(), true)()
-	if err := w.list(h, "leaving"); err != nil {
-		return err
-	}
-	rest(ctx, listedLeaving)
-	if err := h.stop(productStop); err != nil {
-		w.record.fail(err.Error())
-	}
-	if err := w.list(h, ""); err != nil {
-		return err
-	}
-	return w.restart(ctx, h)
-}
-
-func (w *productWorld) storeFault(ctx context.Context, faults platform.Faults, lasts time.Duration) error {
-	w.accepting.Lock()
-	defer w.accepting.Unlock()
-	defer w.record.disturb("store", false)()
-	if err := call(http.MethodPut, w.url(adminPort)+"/faults", faults); err != nil {
-		return err
-	}
-	rest(ctx, lasts)
-	return call(http.MethodPut, w.url(adminPort)+"/faults", platform.Faults{})
-}
-
-func (w *productWorld) setLink(ctx context.Context, h *productHost, l *tcpLink, f fault) {
-	defer w.record.disturb(h.span(), false)()
-	l.set(f.mode)
-	rest(ctx, f.lasts)
-	l.set(linkOpen)
-}
-
-var requestRate = regexp.MustCompile(`request-rate = \d+`)
-
-// change accepts another limit of the account.
-func (w *productWorld) change() error {
-	w.accepting.Lock()
-	defer w.accepting.Unlock()
-	w.rate++
-	path := filepath.Join(w.path("declarations"), "accounts", exampleAccount+".ini")
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return eris.Wrap(err, "declarations can't be read")
-	}
-	text = requestRate.ReplaceAll(text, fmt.Appendf(nil, "request-rate = %d", w.rate))
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		return eris.Wrap(err, "declarations can't be written")
-	}
-	return w.accept()
-}
-
-// drain takes one of the orders' upstreams out; half of them stay.
-func (w *productWorld) drain(f fault) error {
-	const upstreams = 14
-	w.accepting.Lock()
-	defer w.accepting.Unlock()
-	if len(w.drains) >= upstreams/2 {
-		return nil
-	}
-	name := fmt.Sprintf("%s-%02d", exampleOrders, 1+f.pick%upstreams)
-	if slices.ContainsFunc(w.drains, func(d verify.Drain) bool { return d.Upstream == name }) {
-		return nil
-	}
-	if out, err := w.ctl("drain", "account/"+exampleAccount, name); err != nil {
-		return eris.Wrapf(err, "drain is not accepted: %s", out)
-	}
-	w.drains = append(w.drains, verify.Drain{Upstream: name, At: time.Now()})
-	return nil
-}
-
-// judge compares what callers saw with what upstreams ran.
-func (w *productWorld) judge(ctx context.Context, faults int) (*Report, error) {
-	r := &Report{Faults: faults, Judged: make(map[string]int)}
-	seen, err := callers.ReadFile(w.path("callers.json"))
-	if err != nil {
-		return nil, err
-	}
-	var ran upstreamproc.Report
-	if err := get(ctx, w.url(reportPort)+"/report", &ran); err != nil {
-		return nil, err
-	}
-	w.inForce(ctx, r)
-	d := verify.Deployment{Seen: seen, Executed: &ran}
-	result := verify.Compare([]verify.Deployment{d})
-	r.Requests, r.Served = result.Requests, result.Answered
-	r.Judged["runs"] = len(ran.Runs)
-	// Flows that break and drains are judged below, where the promise holds.
-	r.Failures = append(r.Failures, result.Violations(verify.Limits{BrokenFlows: result.BrokenFlows})...)
-	w.record.mu.Lock()
-	defer w.record.mu.Unlock()
-	w.judgeFlows(r, seen)
-	w.judgeRequests(r, seen)
-	w.judgeDrains(r, d)
-	r.Failures = append(r.Failures, w.record.failures...)
-	for _, h := range w.hosts {
-		r.addProcess(h.process)
-	}
-	return r, nil
-}
-
-// inForce checks that all hosts ended up with the last accepted revision.
-func (w *productWorld) inForce(ctx context.Context, r *Report) {
-	args := []string{"await", "--document", "account/" + exampleAccount, "--revision", w.revision}
-	for _, h := range w.hosts {
-		args = append(args, "--host", fmt.Sprintf("http://%s:%d", h.addr, hostAdmin))
-	}
-	if out, err := exec.CommandContext(ctx, w.program("mimosa-standin"), args...).CombinedOutput(); err != nil {
-		r.Failures = append(r.Failures, fmt.Sprintf("CONFIG: revision %s is not in force everywhere: %s", w.revision, out))
-	}
-}
-
-// judgeFlows judges flows that broke with no unplanned fault before.
-func (w *productWorld) judgeFlows(r *Report, seen *callers.Record) {
-	for _, b := range seen.Broken {
-		at := w.started.Add(b.At)
-		r.Judged["broken flows"]++
-		if w.record.quiet(at.Add(-breakWithin), at, true) {
-			r.Failures = append(r.Failures, fmt.Sprintf("FLOW: a flow of service %d broke at %s: %s", b.Service, at.Format(timeFormat), b.Reason))
-		}
-	}
-}
-
-// judgeRequests judges that all are answered while nothing is disturbed.
-func (w *productWorld) judgeRequests(r *Report, seen *callers.Record) {
-	failed := 0
-	for i := range seen.Requests {
-		q := &seen.Requests[i]
-		from := w.started.Add(q.Sent)
-		if !w.record.quiet(from, from.Add(q.Took), true) {
-			continue
-		}
-		r.Judged["served"]++
-		if q.Whole {
-			continue
-		}
-		if failed++; failed <= failuresMost {
-			r.Failures = append(r.Failures, fmt.Sprintf("SERVED: a request of service %d at %s, in calm: %s, %s", q.Service, from.Format(timeFormat), q.Verdict, q.Reason))
-		}
-	}
-}
-
-// judgeDrains judges work that began on an upstream after it was drained, with settled hosts.
-func (w *productWorld) judgeDrains(r *Report, d verify.Deployment) {
-	started := time.UnixMilli(d.Executed.Started)
-	for _, drain := range w.drains {
-		for i := range d.Executed.Runs {
-			run := &d.Executed.Runs[i]
-			at := started.Add(run.At)
-			if d.Executed.Names[run.Upstream] != drain.Upstream || !at.After(drain.At.Add(verify.DrainLimit)) || !w.record.quiet(at, at, true) {
-				continue
-			}
-			r.Failures = append(r.Failures, fmt.Sprintf("DRAIN: %s got work %s after it was drained", drain.Upstream, at.Sub(drain.At)))
-		}
-		r.Judged["DRAIN"]++
-	}
-}
-
 // close ends what is still running.
 func (w *productWorld) close() {
 	for _, h := range w.hosts {
@@ -539,54 +303,3 @@
 		p.end()
 	}
 }
-
-// await asks a stand-in until it answers.
-func await(ctx context.Context, url string) error {
-	deadline := time.Now().Add(readyWithin)
-	for {
-		err := get(ctx, url, nil)
-		if err == nil || time.Now().After(deadline) {
-			return err
-		}
-		rest(ctx, askInterval/10)
-	}
-}
-
-// get reads the answer of a stand-in.
-func get(ctx context.Context, url string, into any) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return eris.Wrap(err, "stand-in can't be asked")
-	}
-	return do(request, into)
-}
-
-// call sends an administrative call to a stand-in.
-func call(method, url string, body any) error {
-	b, err := json.Marshal(body)
-	if err != nil {
-		return eris.Wrap(err, "call can't be encoded")
-	}
-	request, err := http.NewRequest(method, url, bytes.NewReader(b))
-	if err != nil {
-		return eris.Wrap(err, "stand-in can't be asked")
-	}
-	return do(request, nil)
-}
-
-func do(request *http.Request, into any) error {
-	client := http.Client{Timeout: callTimeout}
-	response, err := client.Do(request)
-	if err != nil {
-		return eris.Wrap(err, "stand-in doesn't answer")
-	}
-	defer response.Body.Close()
-	if response.StatusCode >= http.StatusBadRequest {
-		return eris.Errorf("%s answered %s", request.URL, response.Status)
-	}
-	if into == nil {
-		_, err = io.Copy(io.Discard, response.Body)
-		return eris.Wrap(err, "answer can't be read")
-	}
-	return eris.Wrap(json.NewDecoder(response.Body).Decode(into), "answer can't be read")
-}
