--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -11,7 +11,7 @@
 	silentFor = 550 * time.Millisecond
 	// silentRepeats is the number of repeats that this takes.
 	silentRepeats = 2
-	// stuckFor is how long ago a request may have been sent to be handed back: the longest time budget of the users' streams.
+	// stuckFor is how long ago a request may have been sent to be handed back: the longest deadline of the users' streams.
 	stuckFor = 4 * time.Second
 	// silentKeep is how long the verdict holds for the requests of other flows: half of the time
 	// after which the platform takes a trouble for past.
@@ -128,8 +128,8 @@
 }
 
 // handBack resets the other flows whose idempotent requests have waited at the
-// silent upstream of a flow for as long as the verdict takes. Where the upstream acknowledged the request before it died, the
-// caller sends no repeat on which the host could act.
+// silent upstream of a flow for as long as the verdict takes. If the upstream
+// acknowledged a request before it died, the caller sends no repeat on which the host could act.
 func (c *Core) handBack(now time.Duration, found *flow) {
 	u := found.upstream
 	var next *flow
--- a/internal/dsrhost/stats.go
+++ b/internal/dsrhost/stats.go
@@ -14,14 +14,14 @@
 
 // stats are the metrics of a host.
 type stats struct {
-	set                                    *metrics.Set
-	received, ringFull                     *metrics.Counter
-	sendFailed, malformedItems, handedBack *metrics.Counter
-	unfinished                             *metrics.Counter
-	handshakes, answers                    *metrics.Histogram
-	storeResults                           map[string]*metrics.Counter
-	packets                                map[dsr.Effect]*metrics.Counter
-	flows, version, age                    atomic.Int64
+	set                        *metrics.Set
+	received, ringFull         *metrics.Counter
+	sendFailed, malformedItems *metrics.Counter
+	unfinished, handedBack     *metrics.Counter
+	handshakes, answers        *metrics.Histogram
+	storeResults               map[string]*metrics.Counter
+	packets                    map[dsr.Effect]*metrics.Counter
+	flows, version, age        atomic.Int64
 }
 
 // The operations of the store as metrics name them.
