--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -112,7 +112,7 @@
 	oldest := 0
 	newest := 0
 	for i, c := range j.configurations {
-		if !c.confirmed.IsZero() && c.confirmed.Add(j.apply).Before(sent) {
+		if !c.acknowledged.IsZero() && c.acknowledged.Add(j.apply).Before(sent) {
 			oldest = i
 		}
 		if c.sent.Before(handled) {
@@ -303,7 +303,7 @@
 	}
 }
 
-// served judges that all is served while nothing is disturbed but by planned work.
+// served judges that all is served while nothing is disrupted but by planned work.
 func (j *judgement) served() {
 	for i := range j.requests {
 		q := &j.requests[i]
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -33,7 +33,7 @@
 	s := &story{record: newRecord(), orders: testLife(1, ordersService), feed: testLife(2, feedService)}
 	s.upstreams = []*upstreamLife{s.orders, s.feed}
 	for n, at := range []float64{0, 20, 40} {
-		c := configuration{version: n + 1, sent: second(at), confirmed: second(at + 0.01), services: map[netip.AddrPort]string{
+		c := configuration{version: n + 1, sent: second(at), acknowledged: second(at + 0.01), services: map[netip.AddrPort]string{
 			ordersRoute: ordersService, feedRoute: feedService, probeRoute(n): feedService,
 		}}
 		if n > 0 {
@@ -82,7 +82,7 @@
 	}
 }
 
-func (s *story) disturbed(what string, from, to float64, planned bool) {
+func (s *story) disrupted(what string, from, to float64, planned bool) {
 	s.spans[what] = append(s.spans[what], &span{from: second(from), to: second(to), planned: planned})
 }
 
@@ -112,11 +112,11 @@
 		"an old version late":         {func(s *story) { s.open(44, hostA, ordersRoute, s.orders, 0) }, "CONFIG"},
 		"an old version in time":      {func(s *story) { s.open(42, hostA, ordersRoute, s.orders, 0) }, ""},
 		"an old version, host paused": {func(s *story) {
-			s.disturbed("host "+hostA.String(), 38, 43.5, false)
+			s.disrupted("host "+hostA.String(), 38, 43.5, false)
 			s.open(44, hostA, ordersRoute, s.orders, 0)
 		}, ""},
 		"an old version, store down": {func(s *story) {
-			s.disturbed("store", 38, 41, false)
+			s.disrupted("store", 38, 41, false)
 			s.open(44, hostA, ordersRoute, s.orders, 0)
 		}, ""},
 		"a refusal though the route is there": {func(s *story) { s.refuse(30, hostB, probeRoute(1), 2) }, "CONFIG"},
@@ -141,11 +141,11 @@
 			s.open(10, hostA, feedRoute, s.feed, 0).trace.Reset = &dsrworld.Reset{At: second(11), From: hostB, ByHost: true}
 		}, "FLOW"},
 		"a reset during a planned stop": {func(s *story) {
-			s.disturbed("host "+hostB.String(), 10, 12, true)
+			s.disrupted("host "+hostB.String(), 10, 12, true)
 			s.open(10, hostA, feedRoute, s.feed, 0).trace.Reset = &dsrworld.Reset{At: second(11), From: hostB, ByHost: true}
 		}, "FLOW"},
 		"a reset while the upstream is cut off": {func(s *story) {
-			s.disturbed(s.feed.slot, 9, 12, false)
+			s.disrupted(s.feed.slot, 9, 12, false)
 			s.open(10, hostA, feedRoute, s.feed, 0).trace.Reset = &dsrworld.Reset{At: second(11), From: hostB, ByHost: true}
 		}, ""},
 		"packets of a flow at another upstream": {func(s *story) {
@@ -156,7 +156,7 @@
 		}, "FLOW"},
 		"not served in calm": {func(s *story) { s.ask("r-1", 10, false, false) }, "SERVED"},
 		"not served after a kill": {func(s *story) {
-			s.disturbed("host "+hostA.String(), 5, 7, false)
+			s.disrupted("host "+hostA.String(), 5, 7, false)
 			s.ask("r-1", 10, false, false)
 		}, ""},
 		"bytes of another flow": {func(s *story) { s.open(10, hostA, ordersRoute, s.orders, 0).mixed = true }, "MIXED"},
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -150,7 +150,7 @@
 		"version": c.version, "routes": routes, "services": []any{}, "limits": map[string]any{"idleTimeoutMs": 15000},
 	})
 	o.record.mu.Lock()
-	o.record.configurations[n].confirmed = time.Now()
+	o.record.configurations[n].acknowledged = time.Now()
 	o.record.mu.Unlock()
 }
 
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	// stable is the platform's time without disturbance after which bounds of time hold again.
+	// stable is the platform's time without disruption after which bounds of time hold again.
 	stable = 4 * time.Second
 	// stopWithin is the platform's time for a planned stop.
 	stopWithin = 6 * time.Second
--- a/internal/soak/platformfaults.go
+++ b/internal/soak/platformfaults.go
@@ -35,10 +35,10 @@
 	case hostsRoll:
 		return each(w.hosts, func(h *host) error { return w.rollHost(ctx, h) }, true)
 	case storeDown, storeLapse:
-		defer w.record.disturb("store", false)()
+		defer w.record.disrupt("store", false)()
 		w.operator.fail(ctx, f.lasts, f.kind == storeLapse)
 	case storeForget:
-		defer w.record.disturb("store", false)()
+		defer w.record.disrupt("store", false)()
 		w.store.Mute()
 		rest(ctx, muteTime)
 		w.store.Forget()
@@ -66,7 +66,7 @@
 func (w *world) killHost(ctx context.Context, h *host, down time.Duration) error {
 	h.busy.Lock()
 	defer h.busy.Unlock()
-	defer w.record.disturb(h.span(), false)()
+	defer w.record.disrupt(h.span(), false)()
 	h.kill()
 	w.noteEnd(h)
 	rest(ctx, down)
@@ -76,14 +76,14 @@
 func (w *world) pauseHost(ctx context.Context, h *host, lasts time.Duration) error {
 	h.busy.Lock()
 	defer h.busy.Unlock()
-	defer w.record.disturb(h.span(), false)()
+	defer w.record.disrupt(h.span(), false)()
 	return h.pause(ctx, lasts)
 }
 
 func (w *world) rollHost(_ context.Context, h *host) error {
 	h.busy.Lock()
 	defer h.busy.Unlock()
-	defer w.record.disturb(h.span(), true)()
+	defer w.record.disrupt(h.span(), true)()
 	err := h.stop(stopWithin)
 	w.noteEnd(h)
 	if err != nil {
@@ -113,7 +113,7 @@
 // setLinks harms the way of hosts to the store.
 func (w *world) setLinks(ctx context.Context, hosts []*host, f fault) {
 	for _, h := range hosts {
-		defer w.record.disturb(h.span(), false)()
+		defer w.record.disrupt(h.span(), false)()
 		h.store.set(f.mode)
 	}
 	rest(ctx, f.lasts)
@@ -123,7 +123,7 @@
 }
 
 func (w *world) setContact(ctx context.Context, h *host, f fault) {
-	defer w.record.disturb(h.span(), false)()
+	defer w.record.disrupt(h.span(), false)()
 	h.contact.set(f.mode)
 	rest(ctx, f.lasts)
 	h.contact.set(linkOpen)
@@ -135,7 +135,7 @@
 		return nil
 	}
 	defer w.operator.give(s)
-	defer w.record.disturb(s.name, f.kind == upstreamDrain)()
+	defer w.record.disrupt(s.name, f.kind == upstreamDrain)()
 	switch f.kind {
 	case upstreamCrash:
 		return w.operator.crash(ctx, s, f.lasts, s.life.service)
--- a/internal/soak/productfaults.go
+++ b/internal/soak/productfaults.go
@@ -55,7 +55,7 @@
 func (w *productWorld) killHost(ctx context.Context, h *productHost, down time.Duration) error {
 	h.busy.Lock()
 	defer h.busy.Unlock()
-	defer w.record.disturb(h.span(), false)()
+	defer w.record.disrupt(h.span(), false)()
 	h.kill()
 	rest(ctx, down/2)
 	if err := w.list(h, ""); err != nil {
@@ -80,14 +80,14 @@
 func (w *productWorld) pauseHost(ctx context.Context, h *productHost, lasts time.Duration) error {
 	h.busy.Lock()
 	defer h.busy.Unlock()
-	defer w.record.disturb(h.span(), false)()
+	defer w.record.disrupt(h.span(), false)()
 	return h.pause(ctx, lasts)
 }
 
 func (w *productWorld) rollHost(ctx context.Context, h *productHost) error {
 	h.busy.Lock()
 	defer h.busy.Unlock()
-	defer w.record.disturb(h.span(), true)()
+	defer w.record.disrupt(h.span(), true)()
 	if err := w.list(h, "leaving"); err != nil {
 		return err
 	}
@@ -104,7 +104,7 @@
 func (w *productWorld) storeFault(ctx context.Context, faults platform.Faults, lasts time.Duration) error {
 	w.accepting.Lock()
 	defer w.accepting.Unlock()
-	defer w.record.disturb("store", false)()
+	defer w.record.disrupt("store", false)()
 	if err := call(http.MethodPut, w.url(adminPort)+"/faults", faults); err != nil {
 		return err
 	}
@@ -113,7 +113,7 @@
 }
 
 func (w *productWorld) setLink(ctx context.Context, h *productHost, l *tcpLink, f fault) {
-	defer w.record.disturb(h.span(), false)()
+	defer w.record.disrupt(h.span(), false)()
 	l.set(f.mode)
 	rest(ctx, f.lasts)
 	l.set(linkOpen)
--- a/internal/soak/productjudge.go
+++ b/internal/soak/productjudge.go
@@ -63,7 +63,7 @@
 	}
 }
 
-// judgeRequests judges that all are answered while nothing is disturbed.
+// judgeRequests judges that all are answered while nothing is disrupted.
 func (w *productWorld) judgeRequests(r *Report, seen *callers.Record) {
 	failed := 0
 	for i := range seen.Requests {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -13,7 +13,7 @@
 // platform path. Times are those of the steady clock of the soak.
 type record struct {
 	mu sync.Mutex
-	// spans are the disturbances of each thing by its name.
+	// spans are the disruptions of each thing by its name.
 	spans map[string][]*span
 	// flows are the flows that callers tried to open.
 	flows []flow
@@ -25,7 +25,7 @@
 	failures       []string
 }
 
-// span is a time in which something was disturbed. A zero end is still to come.
+// span is a time in which something was disrupted. A zero end is still to come.
 type span struct {
 	from, to time.Time
 	planned  bool
@@ -56,8 +56,8 @@
 // configuration is a version of the configuration.
 type configuration struct {
 	version int
-	// sent and confirmed are when the operator wrote it and had the store's answer.
-	sent, confirmed time.Time
+	// sent and acknowledged are when the operator wrote it and had the store's answer.
+	sent, acknowledged time.Time
 	// services maps the address of each route to its service.
 	services map[netip.AddrPort]string
 }
@@ -69,7 +69,7 @@
 	// slot names its link in the spans.
 	slot    string
 	service string
-	// left is when the store confirmed that it drains or is gone, ended when it stopped.
+	// left is when the store acknowledged that it drains or is gone, ended when it stopped.
 	left, ended time.Time
 }
 
@@ -100,8 +100,8 @@
 
 func newRecord() *record { return &record{spans: make(map[string][]*span)} }
 
-// disturb notes that a disturbance of a thing begins; the function ends it.
-func (r *record) disturb(what string, planned bool) func() {
+// disrupt notes that a disruption of a thing begins; the function ends it.
+func (r *record) disrupt(what string, planned bool) func() {
 	s := &span{from: time.Now(), planned: planned}
 	r.mu.Lock()
 	r.spans[what] = append(r.spans[what], s)
@@ -131,7 +131,7 @@
 	r.requests = append(r.requests, q)
 }
 
-// calm reports whether a thing had no disturbance from the settling time before a moment
+// calm reports whether a thing had no disruption from the settling time before a moment
 // until another moment. Planned ones are left out if the judgement holds under planned work.
 func (r *record) calm(what string, from, to time.Time, unplannedOnly bool) bool {
 	from = from.Add(-stable)
@@ -143,7 +143,7 @@
 	})
 }
 
-// quiet reports whether nothing at all was disturbed.
+// quiet reports whether nothing at all was disrupted.
 func (r *record) quiet(from, to time.Time, unplannedOnly bool) bool {
 	for what := range r.spans {
 		if !r.calm(what, from, to, unplannedOnly) {
