dsrworld: settings and configurations of the platform in one place

The tests of mimosad-dsr and the soak wrote the same JSON, with the platform's field names. The stand-in of the platform writes it now: HostSettings, Route and Configuration.

--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/netip"
@@ -11,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"mimosashore.example/mimosashore/internal/standin/dsrworld"
 )
 
 // host is a host of the platform path with the links that faults are injected into.
@@ -87,17 +88,11 @@
 	if h.store, err = newTCPLink("127.0.0.1:0", d.store); err != nil {
 		return nil, err
 	}
-	zones := make(map[string]string)
-	for _, z := range d.zones {
-		zones[z] = "region"
+	settings := dsrworld.HostSettings{
+		Name: h.name, Zone: h.zone, Zones: d.zones, Data: h.data, Ready: h.ready, Control: h.control,
+		Contacts: contacts, Store: h.store.addr(), StopWithin: stopWithin, ApplyWithin: d.applyWithin,
 	}
-	h.good, err = json.Marshal(map[string]any{
-		"node": h.name, "zone": h.zone, "zones": zones,
-		"listen":   map[string]string{"datagramAddr": h.data.String(), "ready": h.ready.String(), "control": h.control.String()},
-		"seeds":    contacts,
-		"bounds":   map[string]any{"graceS": stopWithin.Seconds(), "configApplyMs": d.applyWithin.Milliseconds()},
-		"platform": map[string]any{"addr": h.store.addr()},
-	})
+	h.good, err = settings.Encode()
 	if err != nil {
 		return nil, eris.Wrap(err, "settings can't be encoded")
 	}
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -134,33 +134,24 @@
 		ordersRoute: orders, feedRoute: feedService, sheetsRoute: sheetsService,
 	}}
 	routes := []any{
-		routeEntry("orders", ordersRoute, "unsafe", orders),
-		routeEntry("feed", feedRoute, "safe", feedService),
-		routeEntry("sheets", sheetsRoute, "upload", sheetsService),
+		dsrworld.Route("orders", ordersRoute, "unsafe", orders),
+		dsrworld.Route("feed", feedRoute, "safe", feedService),
+		dsrworld.Route("sheets", sheetsRoute, "upload", sheetsService),
 	}
 	for p := max(0, n-probeVersions+1); p <= n; p++ {
 		c.services[probeRoute(p)] = feedService
-		routes = append(routes, routeEntry(fmt.Sprintf("probe-%d", p), probeRoute(p), "safe", feedService))
+		routes = append(routes, dsrworld.Route(fmt.Sprintf("probe-%d", p), probeRoute(p), "safe", feedService))
 	}
 	c.sent = time.Now()
 	o.record.mu.Lock()
 	o.record.configurations = append(o.record.configurations, c)
 	o.record.mu.Unlock()
-	o.store.Put("op/config", map[string]any{
-		"version": c.version, "routes": routes, "services": []any{}, "limits": map[string]any{"idleTimeoutMs": 15000},
-	})
+	o.store.Put(dsrworld.ConfigurationKey, dsrworld.Configuration(c.version, routes))
 	o.record.mu.Lock()
 	o.record.configurations[n].acknowledged = time.Now()
 	o.record.mu.Unlock()
 }
 
-func routeEntry(name string, a netip.AddrPort, kind, service string) map[string]any {
-	return map[string]any{
-		"name": name, "host": a.Addr().String(), "prefix": fmt.Sprintf("/%d/", a.Port()), "kind": kind,
-		"timeoutMs": 3000, "targetLatencyMs": 200, "priority": 1, "service": service, "maxAttempts": 2,
-	}
-}
-
 // beat renews the entries until the context ends.
 func (o *operator) beat(ctx context.Context) {
 	ticker := time.NewTicker(heartbeat)
--- /dev/null
+++ b/internal/standin/dsrworld/files.go
@@ -0,0 +1,55 @@
+package dsrworld
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// ConfigurationKey is the key of the configuration in the store.
+const ConfigurationKey = "op/config"
+
+// Route returns a route as operators write it.
+func Route(name string, a netip.AddrPort, kind, service string) map[string]any {
+	return map[string]any{
+		"name": name, "host": a.Addr().String(), "prefix": fmt.Sprintf("/%d/", a.Port()), "kind": kind,
+		"timeoutMs": 3000, "targetLatencyMs": 200, "priority": 1, "service": service, "maxAttempts": 2,
+	}
+}
+
+// Configuration returns a configuration as operators write it.
+func Configuration(version int, routes []any) map[string]any {
+	return map[string]any{
+		"version": version, "routes": routes, "services": []any{}, "limits": map[string]any{"idleTimeoutMs": 15000},
+	}
+}
+
+// HostSettings are the settings of a host as the platform writes them.
+type HostSettings struct {
+	Name, Zone string
+	// Zones are all availability zones.
+	Zones                []string
+	Data, Ready, Control netip.AddrPort
+	// Contacts are control addresses of hosts, Store is the address of the store.
+	Contacts []string
+	Store    string
+	// StopWithin is the time for a planned stop, ApplyWithin that in which a configuration is in force.
+	StopWithin, ApplyWithin time.Duration
+}
+
+// Encode returns the settings file.
+func (s *HostSettings) Encode() ([]byte, error) {
+	zones := make(map[string]string)
+	for _, z := range s.Zones {
+		zones[z] = "region"
+	}
+	return json.Marshal(map[string]any{
+		"node": s.Name, "zone": s.Zone, "zones": zones,
+		"listen":   map[string]string{"datagramAddr": s.Data.String(), "ready": s.Ready.String(), "control": s.Control.String()},
+		"seeds":    s.Contacts,
+		"bounds":   map[string]any{"graceS": s.StopWithin.Seconds(), "configApplyMs": s.ApplyWithin.Milliseconds()},
+		"platform": map[string]any{"addr": s.Store},
+		"unknown":  1,
+	})
+}
