--- /dev/null
+++ b/cmd/mimosad-dsr/fleet_test.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mimosashore.example/mimosashore/internal/standin/dsrworld"
+)
+
+// patience is the longest wait for something that a test waits for.
+const patience = 20 * time.Second
+
+// program is the path of the host program under test.
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "mimosad-dsr")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "mimosad-dsr")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// fleet is a deployment on loopback addresses.
+type fleet struct {
+	t         *testing.T
+	store     *dsrworld.Store
+	port      uint16
+	hosts     []*hostProcess
+	upstreams map[string]*dsrworld.Upstream
+	next      byte
+}
+
+type hostProcess struct {
+	t        *testing.T
+	settings string
+	data     netip.AddrPort
+	ready    string
+	metrics  uint16
+	cmd      *exec.Cmd
+	mu       sync.Mutex
+	out      bytes.Buffer
+	waited   chan error
+}
+
+// Write collects the output of the process.
+func (h *hostProcess) Write(b []byte) (int, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.out.Write(b)
+}
+
+func (h *hostProcess) output() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.out.String()
+}
+
+func loopback(third, fourth byte, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, third, fourth}), port)
+}
+
+// freePort returns a port that nobody uses on the address, for TCP and UDP.
+func freePort(t *testing.T, third byte) uint16 {
+	for range 50 {
+		l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(loopback(third, 1, 0)))
+		require.NoError(t, err)
+		port := l.Addr().(*net.TCPAddr).AddrPort().Port()
+		l.Close()
+		u, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback(third, 1, port)))
+		if err == nil {
+			u.Close()
+			return port
+		}
+	}
+	t.Fatal("no free port")
+	return 0
+}
+
+// The routes of the tests.
+var (
+	orders  = netip.MustParseAddrPort("198.18.0.1:8080")
+	sheets  = netip.MustParseAddrPort("198.18.0.2:8443")
+	nowhere = netip.MustParseAddrPort("198.18.0.9:80")
+)
+
+func newFleet(t *testing.T, hosts int) *fleet {
+	f := &fleet{t: t, store: dsrworld.NewStore(), upstreams: make(map[string]*dsrworld.Upstream), port: freePort(t, 110)}
+	t.Cleanup(f.store.Close)
+	f.configure(1, "orders-service")
+	for n := range 3 {
+		f.addUpstream(uint64(0xa0+n), "orders-service")
+		f.addUpstream(uint64(0xb0+n), "sheets-service")
+	}
+	var seeds []string
+	control := freePort(t, 110)
+	for n := range hosts {
+		seeds = append(seeds, loopback(110, byte(n+1), control).String())
+	}
+	for n := range hosts {
+		h := f.newHost(n, seeds, control)
+		f.hosts = append(f.hosts, h)
+		h.start()
+	}
+	for _, h := range f.hosts {
+		h.awaitReady(http.StatusOK)
+	}
+	return f
+}
+
+// configure writes a configuration whose orders go to the given service.
+func (f *fleet) configure(version int, ordersService string) {
+	f.store.Put(dsrworld.ConfigurationKey, dsrworld.Configuration(version, []any{
+		dsrworld.Route("orders", orders, "unsafe", ordersService), dsrworld.Route("sheets", sheets, "safe", "sheets-service"), "not a route",
+	}))
+}
+
+func (f *fleet) addUpstream(id uint64, service string) *dsrworld.Upstream {
+	f.next++
+	u, err := dsrworld.NewUpstream(id, service, "zone-a", loopback(130, f.next, 0))
+	require.NoError(f.t, err)
+	f.t.Cleanup(u.Close)
+	f.upstreams[u.Name] = u
+	f.store.Put(u.Key(), u.Registration)
+	return u
+}
+
+func (f *fleet) newHost(n int, seeds []string, control uint16) *hostProcess {
+	h := &hostProcess{t: f.t, data: loopback(110, byte(n+1), f.port), ready: loopback(110, byte(n+1), freePort(f.t, 110)).String(), metrics: freePort(f.t, 110)}
+	settings := dsrworld.HostSettings{
+		Name: fmt.Sprintf("host-%d", n), Zone: "zone-a", Zones: []string{"zone-a"}, Data: h.data, Ready: netip.MustParseAddrPort(h.ready),
+		Control: loopback(110, byte(n+1), control), Contacts: seeds, Store: f.store.Addr(), StopWithin: 6 * time.Second, ApplyWithin: 3 * time.Second,
+	}
+	b, err := settings.Encode()
+	require.NoError(f.t, err)
+	h.settings = filepath.Join(f.t.TempDir(), "settings.json")
+	require.NoError(f.t, os.WriteFile(h.settings, b, 0o600))
+	return h
+}
+
+func (h *hostProcess) start() {
+	h.cmd = exec.Command(program, "--metrics-port", fmt.Sprint(h.metrics))
+	h.cmd.Env = append(os.Environ(), "MIMOSASHORE_SETTINGS="+h.settings)
+	h.cmd.Stdout, h.cmd.Stderr = h, h
+	require.NoError(h.t, h.cmd.Start())
+	cmd, waited := h.cmd, make(chan error, 1)
+	h.waited = waited
+	go func() { waited <- cmd.Wait() }()
+	h.t.Cleanup(func() { cmd.Process.Kill() })
+}
+
+func (h *hostProcess) kill() {
+	h.cmd.Process.Kill()
+	<-h.waited
+}
+
+func (h *hostProcess) awaitReady(want int) {
+	require.Eventually(h.t, func() bool {
+		resp, err := http.Get("http://" + h.ready + "/ready")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == want
+	}, patience, 10*time.Millisecond, h.output())
+}
+
+// spray names a random host for each packet.
+func (f *fleet) spray() netip.AddrPort { return f.hosts[rand.N(len(f.hosts))].data }
+
+func (f *fleet) caller() *dsrworld.Caller {
+	f.next++
+	c, err := dsrworld.NewCaller(loopback(120, f.next, 0).Addr(), f.port)
+	require.NoError(f.t, err)
+	f.t.Cleanup(c.Close)
+	return c
+}
