soak: each run claims a loopback network of its own

Cause: on the platform path, all runs used the addresses 127.0.150.x with ports that were free at one moment and released again before the hosts bound them; on the product's path, the network followed from the seed. Two runs at once could take the same port.

Change: claimNetwork keeps a port bound in 127.n.0.0/16 for as long as a run uses the network; ports are fixed and below the ephemeral range. The error for a host that is not ready says whether its process runs, how its output ends and what the last readiness check returned. Logs of a failed test are kept.

--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -38,57 +37,22 @@
 
 // deployment holds the settings that all hosts share.
 type deployment struct {
-	ports ports
-	store string
-	zones []string
+	network *network
+	store   string
+	zones   []string
 	// applyWithin is the time within which hosts apply a configuration.
 	applyWithin time.Duration
 	programs    string
 	logDir      string
 }
 
-// ports are the ports of a run. All addresses use the same ports.
-type ports struct{ data, ready, control, metrics uint16 }
-
-// newPorts returns ports that are free at the address 127.0.third.1.
-func newPorts(third byte) (ports, error) {
-	var p ports
-	for _, port := range []*uint16{&p.data, &p.ready, &p.control, &p.metrics} {
-		free, err := freePort(loopback(third, 1, 0))
-		if err != nil {
-			return p, err
-		}
-		*port = free
-	}
-	return p, nil
-}
-
-// freePort returns a port that is free for both TCP and UDP at an address.
-func freePort(at netip.AddrPort) (uint16, error) {
-	const tries = 50
-	for range tries {
-		l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(at))
-		if err != nil {
-			return 0, eris.Wrap(err, "free TCP port can't be found")
-		}
-		port := l.Addr().(*net.TCPAddr).AddrPort().Port()
-		l.Close()
-		u, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(at.Addr(), port)))
-		if err == nil {
-			u.Close()
-			return port, nil
-		}
-	}
-	return 0, eris.Errorf("no port at %s was free for TCP and UDP", at.Addr())
-}
-
 // newHost writes the settings of host n and opens its link to the store. The
 // contacts are addresses of the links to the contact hosts.
 func (d *deployment) newHost(n int, contacts []string) (*host, error) {
-	at := func(port uint16) netip.AddrPort { return loopback(hostsOctet+byte(n/250), byte(n%250+1), port) }
+	at := func(port uint16) netip.AddrPort { return d.network.addr(hostsOctet+byte(n/250), byte(n%250+1), port) }
 	h := &host{
 		name: fmt.Sprintf("host-%d", n), zone: d.zones[n%len(d.zones)],
-		data: at(d.ports.data), ready: at(d.ports.ready), control: at(d.ports.control),
+		data: at(hostDataPort), ready: at(hostReadyPort), control: at(hostControlPort),
 	}
 	var err error
 	if h.store, err = newTCPLink("127.0.0.1:0", d.store); err != nil {
@@ -107,14 +71,10 @@
 		return nil, err
 	}
 	h.process, err = newProcess(h.name, filepath.Join(d.logDir, h.name+".log"), filepath.Join(d.programs, "mimosad-dsr"), nil,
-		"--settings", h.settingsPath, "--metrics-port", fmt.Sprint(d.ports.metrics))
+		"--settings", h.settingsPath, "--metrics-port", fmt.Sprint(hostAdminPort))
 	return h, err
 }
 
 func (h *host) writeSettings(b []byte) error {
 	return eris.Wrap(os.WriteFile(h.settingsPath, b, 0o600), "settings can't be written")
 }
-
-func loopback(third, fourth byte, port uint16) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, third, fourth}), port)
-}
--- /dev/null
+++ b/internal/soak/network_test.go
@@ -0,0 +1,54 @@
+package soak
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestRunsClaimDifferentNetworks(t *testing.T) {
+	first, err := claimNetwork(7)
+	require.NoError(t, err)
+	second, err := claimNetwork(7)
+	require.NoError(t, err)
+	require.NotEqual(t, first.octet, second.octet)
+	released := first.octet
+	first.release()
+	third, err := claimNetwork(uint64(released) - firstNetwork)
+	require.NoError(t, err)
+	require.Equal(t, released, third.octet, "a released network is used again")
+	second.release()
+	third.release()
+}
+
+// Two runs of one seed on a machine must not take each other's addresses.
+func TestRunsOfOneSeedAtOnce(t *testing.T) {
+	for _, product := range []bool{false, true} {
+		errs := make(chan error, 2)
+		for range 2 {
+			o := Options{Seed: 9, Length: time.Second, Hosts: 2, Callers: 4, Programs: programs, Examples: "../../examples", Product: product, Log: t.Logf}
+			o.Dir = logDir(t)
+			go func() {
+				_, err := Run(t.Context(), o)
+				errs <- err
+			}()
+		}
+		for range 2 {
+			require.NoError(t, <-errs, "product's path: %v", product)
+		}
+	}
+}
+
+// A host that can't bind its address is named with its output in the error of the run.
+func TestRunExplainsHostThatIsNotReady(t *testing.T) {
+	dir := t.TempDir()
+	failing := filepath.Join(dir, "mimosad-dsr")
+	require.NoError(t, os.WriteFile(failing, []byte("#!/bin/sh\necho '{\"msg\":\"can not listen\"}'\nexit 1\n"), 0o700))
+	_, err := Run(t.Context(), Options{Seed: 9, Length: time.Second, Hosts: 1, Callers: 1, Programs: dir, Dir: t.TempDir(), Log: t.Logf})
+	require.ErrorContains(t, err, "host-0 was not ready")
+	require.ErrorContains(t, err, "exited")
+	require.ErrorContains(t, err, "can not listen")
+}
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -66,9 +66,10 @@
 
 // operator simulates the users' operator and runs their upstreams.
 type operator struct {
-	store  *dsrworld.Store
-	record *record
-	zones  []string
+	network *network
+	store   *dsrworld.Store
+	record  *record
+	zones   []string
 
 	mu     sync.Mutex
 	nextID uint64
@@ -91,14 +92,14 @@
 	reserved bool
 }
 
-func newOperator(store *dsrworld.Store, r *record, zones []string) *operator {
-	return &operator{store: store, record: r, zones: zones, nextID: 0x1000}
+func newOperator(n *network, store *dsrworld.Store, r *record, zones []string) *operator {
+	return &operator{network: n, store: store, record: r, zones: zones, nextID: 0x1000}
 }
 
 // addSlot adds a slot and starts an upstream of the service there.
-func (o *operator) addSlot(service string, fabricPort uint16) error {
+func (o *operator) addSlot(service string) error {
 	n := len(o.slots)
-	link, err := newUDPLink(loopback(linksOctet, byte(n+1), fabricPort))
+	link, err := newUDPLink(o.network.addr(linksOctet, byte(n+1), hostDataPort))
 	if err != nil {
 		return err
 	}
@@ -111,7 +112,7 @@
 // startUpstream starts an upstream at a slot and registers it with its start
 // time by its own clock. The caller holds o.mu, or no other goroutine runs yet.
 func (o *operator) startUpstream(s *slot, service string, id uint64, born time.Time) error {
-	u, err := dsrworld.NewUpstream(id, service, s.zone, loopback(upstreamsOctet, byte(s.index+1), 0))
+	u, err := dsrworld.NewUpstream(id, service, s.zone, o.network.addr(upstreamsOctet, byte(s.index+1), 0))
 	if err != nil {
 		return err
 	}
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -11,7 +11,7 @@
 	"mimosashore.example/mimosashore/internal/standin/dsrworld"
 )
 
-// The third octets of the loopback addresses 127.0.x.y of a run.
+// The third octets of the addresses in the network of a run.
 const (
 	hostsOctet     = 150
 	upstreamsOctet = 160
@@ -50,6 +50,7 @@
 // processes; store, upstreams, callers and operator run in this process.
 type platformEnv struct {
 	options       Options
+	network       *network
 	record        *record
 	store         *dsrworld.Store
 	operator      *operator
@@ -62,9 +63,9 @@
 }
 
 // runPlatform executes a run on the platform path.
-func runPlatform(ctx context.Context, o Options, random *rand.Rand) (*Report, error) {
+func runPlatform(ctx context.Context, o Options, n *network, random *rand.Rand) (*Report, error) {
 	faults, length := newSchedule(random, o.Length, platformFaults)
-	e := &platformEnv{options: o, record: newRecord(), store: dsrworld.NewStore(), faultsStarted: time.Now()}
+	e := &platformEnv{options: o, network: n, record: newRecord(), store: dsrworld.NewStore(), faultsStarted: time.Now()}
 	defer e.store.Close()
 	if err := e.build(random); err != nil {
 		return nil, err
@@ -95,19 +96,15 @@
 // build creates the store's content, upstreams, links and hosts, without
 // starting the hosts.
 func (e *platformEnv) build(random *rand.Rand) error {
-	p, err := newPorts(hostsOctet)
-	if err != nil {
-		return err
-	}
-	e.deploy = deployment{ports: p, store: e.store.Addr(), logDir: e.options.Dir, programs: e.options.Programs, applyWithin: applyStrict, zones: []string{"zone-a", "zone-b"}}
+	e.deploy = deployment{network: e.network, store: e.store.Addr(), logDir: e.options.Dir, programs: e.options.Programs, applyWithin: applyStrict, zones: []string{"zone-a", "zone-b"}}
 	if random.IntN(2) == 0 {
 		e.deploy.applyWithin = applyRelaxed
 	}
-	e.operator = newOperator(e.store, e.record, e.deploy.zones)
+	e.operator = newOperator(e.network, e.store, e.record, e.deploy.zones)
 	e.operator.configure(false)
 	for _, s := range services {
 		for range slotsPerService {
-			if err := e.operator.addSlot(s, p.data); err != nil {
+			if err := e.operator.addSlot(s); err != nil {
 				return err
 			}
 		}
@@ -115,7 +112,7 @@
 	var contacts []string
 	var links []*tcpLink
 	for n := range min(maxContacts, e.options.Hosts) {
-		target := loopback(hostsOctet, byte(n+1), p.control).String()
+		target := e.network.addr(hostsOctet, byte(n+1), hostControlPort).String()
 		l, err := newTCPLink("127.0.0.1:0", target)
 		if err != nil {
 			return err
@@ -177,7 +174,7 @@
 		case e.rotation.includes(i):
 			i++
 		case time.Now().After(deadline):
-			return eris.Errorf("%s was not ready within %s", e.hosts[i].name, readyTimeout)
+			return eris.Errorf("%s was not ready within %s: %s; readiness check: %s", e.hosts[i].name, readyTimeout, e.hosts[i].describe(), e.rotation.lastPoll(i))
 		default:
 			sleep(ctx, readyPollInterval/10)
 		}
@@ -194,7 +191,7 @@
 		{service: feedRoute, idempotent: true, long: true},
 	}
 	for n := range e.options.Callers + proberCount {
-		caller, err := dsrworld.NewCaller(loopback(callersOctet+byte(n/250), byte(n%250+1), 0).Addr(), e.deploy.ports.data)
+		caller, err := dsrworld.NewCaller(e.network.addr(callersOctet+byte(n/250), byte(n%250+1), 0).Addr(), hostDataPort)
 		if err != nil {
 			return err
 		}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -126,6 +126,24 @@
 	p.output.Close()
 }
 
+// describe returns whether the process runs, and the end of its output.
+func (p *process) describe() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := "it runs"
+	select {
+	case <-p.done:
+		state = "it exited: " + p.cmd.ProcessState.String()
+	default:
+	}
+	const outputEnd = 1024 // bytes, some lines of log
+	output, err := os.ReadFile(p.output.Name())
+	if err != nil {
+		return fmt.Sprintf("%s, its output can't be read: %v", state, err)
+	}
+	return fmt.Sprintf("%s, its output ends with %q", state, output[max(0, len(output)-outputEnd):])
+}
+
 func (p *process) exited() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/soak/product.go
+++ b/internal/soak/product.go
@@ -23,20 +23,14 @@
 )
 
 // The deployment of the product's own path is an example deployment with its
-// addresses moved to a loopback network that the seed chooses, so that runs with
-// different seeds can share a machine.
+// addresses moved to the network of the run.
 const (
 	exampleAccount = "cubierta-verde"
 	exampleOrders  = "pedidos"
 	exampleBulk    = "medidas"
-	// productNetworks is the number of loopback networks 127.x to choose from.
-	productNetworks = 200
-	storePort       = 7300
-	adminPort       = 7301
-	reportPort      = 7302
-	hostDataPort    = 7400
-	hostControlPort = 7401
-	hostAdminPort   = 7402
+	storePort      = 7300
+	adminPort      = 7301
+	reportPort     = 7302
 	// initialRate is the request-rate of the account in the example.
 	initialRate = 6000
 )
@@ -90,9 +84,9 @@
 }
 
 // runProduct executes a run on the product's own path.
-func runProduct(ctx context.Context, o Options, random *rand.Rand) (*Report, error) {
+func runProduct(ctx context.Context, o Options, n *network, random *rand.Rand) (*Report, error) {
 	faults, length := newSchedule(random, o.Length, productFaults)
-	e := &productEnv{options: o, addrPrefix: fmt.Sprintf("127.%d.", 20+o.Seed%productNetworks), record: newRecord(), rate: initialRate}
+	e := &productEnv{options: o, addrPrefix: n.prefix(), record: newRecord(), rate: initialRate}
 	defer e.close()
 	if err := e.start(ctx, random); err != nil {
 		return nil, err
--- a/internal/soak/rotation.go
+++ b/internal/soak/rotation.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"cmp"
 	"context"
+	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
 	"net/http"
@@ -31,12 +33,15 @@
 	mu          sync.Mutex
 	inRotation  []bool
 	failedPolls []int
+	// pollResults holds the outcome of the last poll of each host.
+	pollResults []string
 }
 
 func newRotation(hosts []*host, perPacket bool) *rotation {
 	return &rotation{
 		hosts: hosts, perPacket: perPacket, client: &http.Client{Timeout: readyPollTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 		inRotation: make([]bool, len(hosts)), failedPolls: make([]int, len(hosts)),
+		pollResults: make([]string, len(hosts)),
 	}
 }
 
@@ -58,12 +63,14 @@
 
 func (r *rotation) poll(i int) {
 	response, err := r.client.Get("http://" + r.hosts[i].ready.String() + "/ready")
-	ok := err == nil && response.StatusCode == http.StatusOK
+	ok, result := false, fmt.Sprint(err)
 	if err == nil {
+		ok, result = response.StatusCode == http.StatusOK, response.Status
 		response.Body.Close()
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.pollResults[i] = result
 	if ok {
 		r.inRotation[i], r.failedPolls[i] = true, 0
 		return
@@ -73,6 +80,13 @@
 	}
 }
 
+// lastPoll returns the outcome of the last poll of a host.
+func (r *rotation) lastPoll(i int) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return cmp.Or(r.pollResults[i], "no answer yet")
+}
+
 // includes reports whether the host is in rotation.
 func (r *rotation) includes(i int) bool {
 	r.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -100,7 +100,12 @@
 	if o.Product {
 		run = runProduct
 	}
-	report, err := run(ctx, o, random)
+	n, err := claimNetwork(o.Seed)
+	if err != nil {
+		return nil, err
+	}
+	defer n.release()
+	report, err := run(ctx, o, n, random)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -41,7 +41,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			o.Hosts, o.Callers, o.Programs, o.Examples, o.Dir, o.Log = 4, 16, programs, "../../examples", t.TempDir(), t.Logf
+			o.Hosts, o.Callers, o.Programs, o.Examples, o.Dir, o.Log = 4, 16, programs, "../../examples", logDir(t), t.Logf
 			report, err := Run(t.Context(), o)
 			require.NoError(t, err)
 			t.Log(report)
@@ -51,6 +51,20 @@
 	}
 }
 
+// logDir returns a directory for the logs of a run, which is kept if the test fails.
+func logDir(t *testing.T) string {
+	dir, err := os.MkdirTemp("", "soak-logs")
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("logs of the run are in %s", dir)
+			return
+		}
+		os.RemoveAll(dir)
+	})
+	return dir
+}
+
 func TestScheduleDependsOnSeedOnly(t *testing.T) {
 	schedule := func(seed uint64) []fault {
 		faults, length := newSchedule(rand.New(rand.NewPCG(seed, seed)), time.Minute, platformFaults)
