loadcontrol, dsrpeer: place of a host among the hosts of its zone; limits for many hosts

Cause: with 79 hosts before 293 upstreams a host sees one request in 13 s for each upstream. Its own limit per upstream learns nothing at that rate, and each host finds out for itself that an upstream is gone.

The peer table holds the hosts of a zone (1,024 in place of 48) and gives the place of this host among them. Named hosts carry the time since they were seen: before, two hosts that named a dead host to each other kept it for ever (TestDeadHostIsNotPassedOnForEver). A message names the hosts of the receiver's zone first, 128 at most. After three hellos to contacts, three of four go to any known host.

The format of peerInfo changes: hosts of the old build refuse hellos of the new one and read the store themselves while both run.

TestPeerTableEvictsOldestHost keeps its check with steps of a millisecond: at a step of a second, a table of 1,024 hosts expires before it is full. It now also checks that the oldest host that fits stays.

Result: no decision of the data path uses it yet; tests of both packages pass.

--- a/internal/dsrpeer/follow.go
+++ b/internal/dsrpeer/follow.go
@@ -16,8 +16,8 @@
 // the first few hellos.
 func (p *Peer) SendHellos(ctx context.Context) {
 	interval := helloMinInterval
-	for ctx.Err() == nil {
-		if !p.helloAny(ctx) {
+	for n := 0; ctx.Err() == nil; n++ {
+		if !p.helloAny(ctx, n < contactHellos || n%contactHelloInterval == 0) {
 			sleep(ctx, helloRetry)
 			continue
 		}
@@ -78,19 +78,22 @@
 }
 
 // helloAny sends hellos until a host answers. It reports false if hosts are known
-// but none answered. It tries contacts first, since all hosts send hellos to them.
-func (p *Peer) helloAny(ctx context.Context) bool {
+// but none answered. The contacts, to which all hosts send hellos, know most hosts.
+func (p *Peer) helloAny(ctx context.Context, contactsFirst bool) bool {
 	hosts := p.peers.list(p.settings.Now())
+	if contactsFirst {
+		hosts = p.peers.contactsFirst(p.settings.Now())
+	}
 	if len(hosts) == 0 {
 		return true
 	}
-	for i := len(hosts) - 1; i >= 0; i-- {
-		n, ws, err := p.dial(ctx, hosts[i], false)
+	for _, host := range hosts {
+		n, ws, err := p.dial(ctx, host, false)
 		if err != nil {
 			continue
 		}
 		ws.CloseNow()
-		p.addPeers(hosts[i], n)
+		p.addPeers(host, n)
 		return true
 	}
 	return false
@@ -100,11 +103,9 @@
 // from the sender's control address.
 func (p *Peer) addPeers(from netip.AddrPort, n *syncMessage) {
 	now := p.settings.Now()
-	for _, c := range n.Peers {
-		p.peers.addIfUnknown(now, c)
-	}
+	p.peers.addNamed(now, n.Peers)
 	if n.Self.Control == from.String() {
-		p.peers.add(now, from, n.Self.Zone)
+		p.peers.add(now, now, from, n.Self.Zone)
 	}
 }
 
--- a/internal/dsrpeer/message.go
+++ b/internal/dsrpeer/message.go
@@ -26,7 +26,9 @@
 	// maxItems is the largest number of items in a message; the largest planned fleet has 91,000 upstreams.
 	maxItems = 100_000
 	// maxPeers is the largest number of hosts named in a message.
-	maxPeers = 64
+	maxPeers = 128
+	// maxAgeMs bounds the age of a named host, in milliseconds; older ones are not used.
+	maxAgeMs = 3_600_000
 	// maxMapSize is the largest number of pairs in a CBOR map.
 	maxMapSize = 16
 	// maxNesting is the deepest nesting of CBOR arrays and maps.
@@ -47,6 +49,8 @@
 	// Control is the control address, an IP address with a port.
 	Control string
 	Zone    string
+	// AgeMs is the time since the host was last seen, in milliseconds; zero for the sender itself.
+	AgeMs int64
 }
 
 // syncMessage is the message that the dialed host sends, first in answer to a hello
--- a/internal/dsrpeer/peer.go
+++ b/internal/dsrpeer/peer.go
@@ -13,6 +13,7 @@
 	"github.com/coder/websocket"
 	"github.com/rotisserie/eris"
 
+	"mimosashore.example/mimosashore/internal/loadcontrol"
 	"mimosashore.example/mimosashore/internal/logging"
 	"mimosashore.example/mimosashore/internal/replica"
 	"mimosashore.example/mimosashore/internal/store"
@@ -37,6 +38,11 @@
 	helloMinInterval = 1500 * time.Millisecond
 	helloMaxInterval = 25 * time.Second
 	helloRetry       = 500 * time.Millisecond
+	// contactHellos is the number of first hellos that go to contacts. Later ones go to any known
+	// host, so that contacts don't have to answer the whole fleet, except for every
+	// contactHelloInterval-th one, which joins parts of the fleet that don't know each other.
+	contactHellos        = 3
+	contactHelloInterval = 4
 	// maxReaderStoreAge is the longest time since the last store answer of a host that
 	// reads the store for others: the sum of a watch, its timeout and a pause.
 	maxReaderStoreAge = 4 * time.Second
@@ -138,6 +144,9 @@
 // KnownPeers returns the number of known hosts and contacts.
 func (p *Peer) KnownPeers() int { return len(p.peers.list(p.settings.Now())) }
 
+// Position returns the place of this host among the known hosts of its zone.
+func (p *Peer) Position() loadcontrol.Position { return p.peers.position(p.settings.Now()) }
+
 // Close closes the listener. It is needed only if Serve was not called.
 func (p *Peer) Close() { p.listener.Close() }
 
--- a/internal/dsrpeer/peer_test.go
+++ b/internal/dsrpeer/peer_test.go
@@ -210,16 +210,69 @@
 		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), 1)
 	}
 	for n := range maxKnownPeers + 5 {
-		b.add(time.Duration(n)*time.Second, at(n), "a")
+		b.add(time.Duration(n)*time.Millisecond, time.Duration(n)*time.Millisecond, at(n), "a")
 	}
-	known := b.list(time.Duration(maxKnownPeers) * time.Second)
+	const end = (maxKnownPeers + 5) * time.Millisecond
+	known := b.list(end)
 	require.Len(t, known, maxKnownPeers)
 	require.NotContains(t, known, at(4))
-	b.add(maxKnownPeers*time.Second, b.self, "a")
-	require.NotContains(t, b.list(maxKnownPeers*time.Second), b.self)
+	require.Contains(t, known, at(5))
+	b.add(end, end, b.self, "a")
+	require.NotContains(t, b.list(end), b.self)
 	require.Empty(t, b.list(10*peerExpiry))
 }
 
+// Hosts that name a dead host to each other must not keep it in their tables.
+func TestDeadHostIsNotPassedOnForEver(t *testing.T) {
+	at := func(n byte) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 1) }
+	a, b := newPeerTable(at(1), "a", nil), newPeerTable(at(2), "a", nil)
+	a.add(time.Second, time.Second, at(9), "a")
+	b.addNamed(30*time.Second, a.peerInfos(30*time.Second, "a"))
+	require.Contains(t, b.list(30*time.Second), at(9))
+	for now := 31 * time.Second; now < 5*time.Minute; now += 5 * time.Second {
+		a.addNamed(now, b.peerInfos(now, "a"))
+		b.addNamed(now, a.peerInfos(now, "a"))
+	}
+	require.NotContains(t, a.list(5*time.Minute), at(9))
+	require.NotContains(t, b.list(5*time.Minute), at(9))
+	b.addNamed(time.Minute, []peerInfo{{Control: at(8).String(), Zone: "a", AgeMs: -5}, {Control: at(7).String(), Zone: "a", AgeMs: 1 << 62}})
+	require.Empty(t, b.list(time.Minute), "hosts without a valid age")
+}
+
+// The hosts of a zone agree on their places, from 0 to their number.
+func TestHostsOfZoneAgreeOnTheirPlaces(t *testing.T) {
+	at := func(n byte) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 1) }
+	places := make(map[int]bool)
+	for n := range byte(6) {
+		p := newPeerTable(at(n), "a", nil)
+		for m := range byte(6) {
+			p.add(0, 0, at(m), "a")
+			p.add(0, 0, at(m+100), "b")
+		}
+		place := p.position(0)
+		require.Equal(t, 6, place.Count)
+		places[place.Index] = true
+	}
+	require.Len(t, places, 6)
+}
+
+// A message names the hosts of the receiver's zone before others.
+func TestMessageNamesHostsOfZoneFirst(t *testing.T) {
+	p := newPeerTable(netip.MustParseAddrPort("10.0.0.1:1"), "a", nil)
+	for n := range 2 * maxPeers {
+		zone := "b"
+		if n%8 == 0 {
+			zone = "a"
+		}
+		p.add(0, 0, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), 1), zone)
+	}
+	named := p.peerInfos(0, "a")
+	require.Len(t, named, maxPeers)
+	for i, n := range named {
+		require.Equal(t, i < maxPeers/4, n.Zone == "a")
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	updateSeed, err := encodeUpdate(replica.Update{Full: true, AtRevision: 4, Events: []store.Event{writeEvent("a", 3)}})
 	require.NoError(f, err)
--- a/internal/dsrpeer/peertable.go
+++ b/internal/dsrpeer/peertable.go
@@ -9,12 +9,16 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"mimosashore.example/mimosashore/internal/loadcontrol"
 )
 
 const (
-	// maxKnownPeers is the capacity of the peer table; a few hosts suffice to find one that answers.
-	maxKnownPeers = 48
-	// peerExpiry is the time after which a host without a new hello is removed. Hosts send one at least every helloMaxInterval.
+	// maxKnownPeers is the capacity of the peer table. It holds the hosts of the largest planned zone,
+	// 814, which divide the zone's upstreams among themselves.
+	maxKnownPeers = 1024
+	// peerExpiry is the time without a sign of a host after which it is removed. Hosts send a hello at
+	// least every helloMaxInterval.
 	peerExpiry = 60 * time.Second
 	// storeReadersPerZone is the number of hosts of a zone that read the store for
 	// the others; the second is the standby for a failure of the first.
@@ -33,7 +37,7 @@
 // peerEntry is a known host.
 type peerEntry struct {
 	zone string
-	// lastSeen is when the host last sent a hello, answered, or was first named by another host.
+	// lastSeen is when the host last sent a hello or answered, to this host or to the one that named it.
 	lastSeen time.Duration
 }
 
@@ -41,31 +45,39 @@
 	return &peerTable{self: self, zone: zone, contacts: contacts, hosts: make(map[netip.AddrPort]peerEntry)}
 }
 
-// add adds a host, or updates its zone and the time it was last seen.
-func (t *peerTable) add(now time.Duration, a netip.AddrPort, zone string) {
-	if !a.IsValid() || a == t.self {
+// add adds a host that was seen at the given time, or updates it if it was seen earlier. Hosts last
+// seen more than peerExpiry ago are not added.
+func (t *peerTable) add(now, seen time.Duration, a netip.AddrPort, zone string) {
+	if !a.IsValid() || a == t.self || now-seen > peerExpiry {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if _, ok := t.hosts[a]; !ok && len(t.hosts) >= maxKnownPeers {
+	known, ok := t.hosts[a]
+	switch {
+	case ok && known.lastSeen >= seen:
+		return
+	case !ok && len(t.hosts) >= maxKnownPeers:
 		t.evictOldest()
 	}
-	t.hosts[a] = peerEntry{zone, now}
+	t.hosts[a] = peerEntry{zone, seen}
 }
 
-// addIfUnknown adds a host named by another one, unless it is known or the table is full.
-func (t *peerTable) addIfUnknown(now time.Duration, c peerInfo) {
-	a, err := netip.ParseAddrPort(c.Control)
-	if err != nil {
-		return
-	}
-	t.mu.Lock()
-	_, ok := t.hosts[a]
-	full := len(t.hosts) >= maxKnownPeers
-	t.mu.Unlock()
-	if !ok && !full {
-		t.add(now, a, c.Zone)
+// addNamed adds the hosts named by another one, unless the table is full, and updates known ones. The
+// ages that come with them keep a dead host from being passed on for ever.
+func (t *peerTable) addNamed(now time.Duration, named []peerInfo) {
+	for _, n := range named {
+		a, err := netip.ParseAddrPort(n.Control)
+		if err != nil || n.AgeMs < 0 {
+			continue
+		}
+		t.mu.Lock()
+		_, ok := t.hosts[a]
+		full := len(t.hosts) >= maxKnownPeers
+		t.mu.Unlock()
+		if ok || !full {
+			t.add(now, now-time.Duration(min(n.AgeMs, maxAgeMs))*time.Millisecond, a, n.Zone)
+		}
 	}
 }
 
@@ -122,18 +134,41 @@
 	return out
 }
 
-// peerInfos returns up to maxPeers known hosts for a message.
-func (t *peerTable) peerInfos(now time.Duration) []peerInfo {
+// contactsFirst returns the contacts in random order, followed by the other known hosts.
+func (t *peerTable) contactsFirst(now time.Duration) []netip.AddrPort {
+	hosts := t.list(now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	slices.SortStableFunc(hosts, func(a, b netip.AddrPort) int {
+		return cmp.Compare(boolRank(!slices.Contains(t.contacts, a)), boolRank(!slices.Contains(t.contacts, b)))
+	})
+	return hosts
+}
+
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// peerInfos returns up to maxPeers known hosts for a message to a host of a zone, those of its zone
+// first.
+func (t *peerTable) peerInfos(now time.Duration, zone string) []peerInfo {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	var out []peerInfo
+	var same, others []peerInfo
 	for a, e := range t.hosts {
-		if len(out) < maxPeers {
-			out = append(out, peerInfo{Control: a.String(), Zone: e.zone})
+		info := peerInfo{Control: a.String(), Zone: e.zone, AgeMs: (now - e.lastSeen).Milliseconds()}
+		if e.zone == zone {
+			same = append(same, info)
+		} else {
+			others = append(others, info)
 		}
 	}
-	return out
+	all := append(same, others...)
+	return all[:min(len(all), maxPeers)]
 }
 
 // storeReaders returns the hosts of this host's zone that should read the store for
@@ -158,6 +193,25 @@
 	return ranked
 }
 
+// position returns the place of this host among the known hosts of its zone.
+func (t *peerTable) position(now time.Duration) loadcontrol.Position {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	p := loadcontrol.Position{Count: 1}
+	self := rank(t.self)
+	for a, e := range t.hosts {
+		if e.zone != t.zone {
+			continue
+		}
+		p.Count++
+		if rank(a) < self {
+			p.Index++
+		}
+	}
+	return p
+}
+
 // rank returns a hash of the address, by which all hosts put a zone's hosts in the same order.
 func rank(a netip.AddrPort) uint64 {
 	b, err := a.MarshalBinary()
--- a/internal/dsrpeer/serve.go
+++ b/internal/dsrpeer/serve.go
@@ -38,22 +38,22 @@
 	}
 	// decodeHello checked the address.
 	control, _ := netip.ParseAddrPort(h.Self.Control)
-	p.peers.add(p.settings.Now(), control, h.Self.Zone)
+	p.peers.add(p.settings.Now(), p.settings.Now(), control, h.Self.Zone)
 	if !h.Follow {
 		// If the write fails, the other host tries the next one.
-		_ = p.send(r.Context(), ws, &syncMessage{Self: p.self(), Peers: p.peers.peerInfos(p.settings.Now())})
+		_ = p.send(r.Context(), ws, &syncMessage{Self: p.self(), Peers: p.peers.peerInfos(p.settings.Now(), h.Self.Zone)})
 		return
 	}
-	p.serveFollower(ws.CloseRead(r.Context()), ws, control)
+	p.serveFollower(ws.CloseRead(r.Context()), ws, control, h.Self.Zone)
 }
 
 // serveFollower sends a snapshot, then updates as they come and heartbeats in
 // between, until the connection ends or the follower is too slow.
-func (p *Peer) serveFollower(ctx context.Context, ws *websocket.Conn, to netip.AddrPort) {
+func (p *Peer) serveFollower(ctx context.Context, ws *websocket.Conn, to netip.AddrPort, zone string) {
 	snapshot, updates := p.settings.Replica.Subscribe()
 	defer p.settings.Replica.Unsubscribe(updates)
 	p.settings.Log.Info("follower connected", zap.Stringer("host", to), zap.Uint64("revision", uint64(snapshot.AtRevision)))
-	first := &syncMessage{Self: p.self(), Peers: p.peers.peerInfos(p.settings.Now())}
+	first := &syncMessage{Self: p.self(), Peers: p.peers.peerInfos(p.settings.Now(), zone)}
 	var err error
 	if snapshot.AtRevision != 0 {
 		if first.Update, err = p.encodedUpdate(snapshot); err != nil {
