dsr: hosts of a zone divide its upstreams; limits and refusals follow what these can do

Cause: each host placed flows at all upstreams, with an AIMD window for each. At 79 hosts before 293 upstreams, a window gets a sample in 13 s; all windows together let some 160 requests at an upstream with two slots. When all upstreams turned slow and the traffic doubled, they queued up and shed 33,169 tries. An upstream that crashed had to be found out by each host. Requests stopped counting as work after 500 ms, when upstreams are slowest.

Change: each host is responsible for its part of the zone's upstreams (loadcontrol.Position), whose work it counts exactly; others get a flow if these are at their limits, as far as one window for all of them allows. The limit follows from the time that a request takes a free slot, and counts the requests that open flows are expected to send. If the limits are reached, a caller waits for its repeat as long as the slots can catch up with the demand; otherwise its SYN is reset at once, but only if no copy of it can have been forwarded. Urgent routes get twice the limit and are refused only if they exceed the slots by themselves. A request counts as work for four times the mean time to an answer. A choice in a service of more than 64 upstreams looks at the own ones and eight others.

What binds under overload: requests on open flows can't be placed, and only their upstream can refuse them.

--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -5,7 +5,10 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mimosashore.example/mimosashore/internal/directory"
+	"mimosashore.example/mimosashore/internal/loadcontrol"
 )
 
 // Apply applies a change of the directory.
@@ -95,6 +98,7 @@
 			if !d.Draining {
 				event = "upstream no longer draining"
 			}
+			c.serviceOf(u.Service).sharesStale = true
 			c.emit(Record{Event: event, Upstream: d.Key, Service: d.Service, Revision: uint64(d.Revision)})
 		}
 		u.Upstream = *d
@@ -104,7 +108,7 @@
 	if u != nil {
 		c.markGone(now, u, "restarted")
 	}
-	n := &upstream{Upstream: *d, token: TokenOf(d.ID, d.Incarnation), zone: c.zoneOf(d.Zone), window: newWindow(d.Slots)}
+	n := &upstream{Upstream: *d, token: TokenOf(d.ID, d.Incarnation), zone: c.zoneOf(d.Zone), service: c.serviceOf(d.Service), rank: xxhash.Sum64String(d.Key)}
 	if d.SlowStart > 0 {
 		n.slowStartUntil = now + d.SlowStart
 	}
@@ -125,7 +129,7 @@
 func (c *Core) serviceOf(name string) *service {
 	s := c.services[name]
 	if s == nil {
-		s = &service{}
+		s = &service{spill: loadcontrol.NewWindow()}
 		c.services[name] = s
 	}
 	return s
@@ -136,6 +140,7 @@
 func (c *Core) indexUpstream(u *upstream) {
 	s := c.serviceOf(u.Service)
 	s.upstreams = append(s.upstreams, u)
+	s.sharesStale = true
 	other := c.tokens[u.token]
 	if other == nil || other.gone {
 		c.tokens[u.token] = u
@@ -159,6 +164,7 @@
 	s := c.serviceOf(u.Service)
 	if i := slices.Index(s.upstreams, u); i >= 0 {
 		s.upstreams = slices.Delete(s.upstreams, i, i+1)
+		s.sharesStale = true
 	}
 	if !u.tokenShared {
 		return
--- a/internal/dsr/bench_test.go
+++ b/internal/dsr/bench_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mimosashore.example/mimosashore/internal/directory"
+	"mimosashore.example/mimosashore/internal/loadcontrol"
 )
 
 // BenchmarkRoutedPacket measures the decision on a packet of an open flow.
@@ -39,9 +40,10 @@
 
 // BenchmarkOpening measures the selection of an upstream for different numbers of upstreams.
 func BenchmarkOpening(b *testing.B) {
-	for _, size := range []int{3, 14, 120} {
+	for _, size := range []int{3, 14, 234, 91000} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			f := newFixture(&testing.T{})
+			f.core.SetPosition(loadcontrol.Position{Index: 1, Count: max(1, size/3)})
 			ch := &directory.Change{Revision: 100}
 			for n := range size {
 				u := testUpstream(n+10, "orders", "a")
--- a/internal/dsr/choose.go
+++ b/internal/dsr/choose.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"mimosashore.example/mimosashore/internal/loadcontrol"
 )
 
 const (
@@ -13,9 +15,12 @@
 	slowStartFactor = 1.6
 	// maxLatencyHalfLives is the age, in half-lives, beyond which latency samples are ignored.
 	maxLatencyHalfLives = 8
-	// idleFlowLoad is the load of an open flow without a request in progress, in requests: callers
-	// with long flows send about one request of 30 ms per second.
-	idleFlowLoad = 0.05
+	// defaultIdleFlowLoad is the load of an open flow without a request in progress, in requests,
+	// before there are measurements: about one request of 50 ms per second.
+	defaultIdleFlowLoad = 0.05
+	// foreignLoad is added to the load of an upstream that other hosts of the zone are responsible
+	// for, in requests: as many as an upstream usually has slots.
+	foreignLoad = 2.0
 	// crossZoneLoad is added to the load of an upstream in another zone, in requests. For an
 	// upstream with two slots it is two requests per slot, a wait that is within the latency
 	// objective of callers.
@@ -25,64 +30,118 @@
 	goldenRatioStep = 0x9e3779b97f4a7c15
 	// suspectCost is added to the cost of a suspect upstream, which puts it behind all others.
 	suspectCost = 1e6
+	// fullSearchSize is the largest number of upstreams of a service that are all compared. In
+	// larger services, a host compares its own ones with foreignSample others.
+	fullSearchSize = 64
+	foreignSample  = 8
 )
 
 // choice is the result of selecting an upstream.
 type choice struct {
 	upstream *upstream
-	service  string
-	reason   Reason
-	// considered is the number of usable upstreams, suspect the number of those that may not
-	// answer.
-	considered, suspect int
+	// service is the name of the service, state its state or nil.
+	service string
+	state   *service
+	reason  Reason
+	class   loadcontrol.Class
+	// considered is the number of usable upstreams that were compared, suspect the number of those
+	// that may not answer, full that of other ones at their limit.
+	considered, suspect, full int
+	cost                      float64
 }
 
 // choose selects the upstream with the least expected wait for a new flow. A suspect upstream is
 // selected only if no other upstream is usable.
 func (c *Core) choose(now time.Duration, r *route, p *Packet) choice {
-	h := packetHash(p)
-	ch := choice{service: pickTarget(r, h), reason: ReasonNoUpstream}
+	ch := choice{service: pickTarget(r, packetHash(p)), reason: ReasonNoUpstream, cost: math.MaxFloat64}
 	s := c.services[ch.service]
 	if s == nil || len(s.upstreams) == 0 {
 		return ch
 	}
+	ch.state = s
+	ch.class = loadcontrol.Class{Late: p.SYNRetransmits > 0, Urgent: r.Priority < s.lowestPriority}
+	if s.sharesStale {
+		c.computeShares(s)
+	}
 	c.rotation++
-	best := math.MaxFloat64
-	full := 0
 	start := int(((c.rotation * goldenRatioStep) >> 32) % uint64(len(s.upstreams)))
-	for i := range s.upstreams {
-		u := s.upstreams[(start+i)%len(s.upstreams)]
-		if !u.usable() {
-			continue
-		}
-		ch.considered++
-		suspect := u.suspect(now)
-		if suspect {
-			ch.suspect++
-		}
-		if !u.window.admits(now, u.busy+u.opening, p, r.Priority < s.lowestPriority) {
-			if !suspect {
-				full++
-			}
-			continue
-		}
-		if cost := c.cost(now, s, u, suspect); cost < best {
-			best, ch.upstream = cost, u
+	spills := s.spill.Admits(now, s.spilled, ch.class)
+	if len(s.upstreams) > fullSearchSize {
+		for _, u := range s.own {
+			c.consider(now, &ch, r, u, spills)
 		}
+		c.considerFrom(now, &ch, r, start, foreignSample, spills)
+	}
+	if ch.cost >= suspectCost {
+		ch.considered, ch.suspect, ch.full = 0, 0, 0
+		c.considerFrom(now, &ch, r, start, len(s.upstreams), spills)
 	}
-	if full > 0 && best >= suspectCost {
+	if ch.full > 0 && ch.cost >= suspectCost {
 		ch.upstream, ch.reason = nil, ReasonPaced
 	}
 	return ch
 }
 
+// considerFrom compares a number of consecutive upstreams of the service with the choice.
+func (c *Core) considerFrom(now time.Duration, ch *choice, r *route, start, count int, spills bool) {
+	all := ch.state.upstreams
+	for i := range count {
+		c.consider(now, ch, r, all[(start+i)%len(all)], spills)
+	}
+}
+
+// consider makes an upstream the choice if it admits the flow at a lower cost.
+func (c *Core) consider(now time.Duration, ch *choice, r *route, u *upstream, spills bool) {
+	if !u.usable() {
+		return
+	}
+	ch.considered++
+	suspect := u.suspect(now)
+	if suspect {
+		ch.suspect++
+	}
+	if !admits(now, ch, u, r.LatencyObjective, spills) {
+		if !suspect {
+			ch.full++
+		}
+		return
+	}
+	if cost := c.cost(now, ch.state, u, suspect); cost < ch.cost {
+		ch.cost, ch.upstream = cost, u
+	}
+}
+
+// admits reports whether another flow may be opened at an upstream.
+func admits(now time.Duration, ch *choice, u *upstream, objective time.Duration, spills bool) bool {
+	s := ch.state
+	slots := u.share * float64(u.Slots)
+	if u.share == 0 {
+		if !spills {
+			return false
+		}
+		slots = float64(u.Slots)
+	}
+	open := float64(u.busy + u.opening)
+	if !ch.class.Urgent {
+		open += s.idleFlowLoad() * float64(u.flows-u.busy)
+	}
+	work := time.Duration(float64(s.work) * u.slowdown(now, s))
+	return u.pacer.Admits(now, open, loadcontrol.Limit(slots, work, objective), ch.class, work)
+}
+
 // cost returns the expected wait at an upstream, in requests per slot.
 func (c *Core) cost(now time.Duration, s *service, u *upstream, suspect bool) float64 {
-	load := float64(u.busy+u.opening) + idleFlowLoad*float64(u.flows) + 1
-	if u.Zone != c.zone {
+	load := float64(u.busy+u.opening) + s.idleFlowLoad()*float64(u.flows)
+	switch {
+	case u.Zone != c.zone:
 		load += crossZoneLoad
+	case u.share == 0:
+		load += foreignLoad
+	default:
+		// The other hosts that share the upstream send it as much in proportion.
+		load /= u.share
 	}
-	cost := load * u.slowdown(now, s) / float64(u.Slots)
+	cost := (load + 1) * u.slowdown(now, s) / float64(u.Slots)
 	if suspect {
 		cost += suspectCost
 	}
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mimosashore.example/mimosashore/internal/directory"
+	"mimosashore.example/mimosashore/internal/loadcontrol"
 )
 
 const (
@@ -30,9 +31,12 @@
 
 // Core makes the routing decisions of one host. It is not safe for concurrent use.
 type Core struct {
-	zone   string
-	format Format
-	cache  flowCache
+	zone string
+	// position is the place of this host among the hosts of its zone.
+	position loadcontrol.Position
+	format   Format
+	cache    flowCache
+	waiters  waiters
 
 	byKey       map[string]*upstream
 	tokens      map[Token]*upstream
@@ -89,6 +93,7 @@
 		services:      make(map[string]*service),
 		zones:         make(map[string]*zone),
 		routes:        make(map[netip.AddrPort]*route),
+		waiters:       newWaiters(),
 		unknownTokens: make(map[Token]time.Duration),
 	}
 }
@@ -184,10 +189,12 @@
 		c.cache.setPhase(now, f, phaseOverdue)
 		c.onHandshakeTimeout(now, f)
 	}
-	for f := c.cache.busy.First(); f != nil && now-f.busyAt > busyTimeout; f = c.cache.busy.First() {
+	// A flow behind one of a service with a longer timeout expires with that one.
+	for f := c.cache.busy.First(); f != nil && now-f.busyAt > f.upstream.service.busyTimeout(); f = c.cache.busy.First() {
 		c.cache.setPhase(now, f, phaseIdle)
 	}
 	c.cache.expire(now)
+	c.waiters.expire(now)
 }
 
 // handleSYN decides on the SYN of a flow or a retransmission of it.
@@ -214,17 +221,24 @@
 		reason = ReasonMoved
 	}
 	choice := c.choose(now, r, p)
+	s := choice.state
 	if choice.upstream == nil {
-		c.emitOpening("flow not opened", now, p, r, choice, choice.reason)
-		return Effect{Action: Drop, Reason: choice.reason}
+		return c.handleNotPlaced(now, p, r, f, choice)
 	}
+	if p.SYNRetransmits == 0 {
+		s.asked(now, choice.class)
+	}
+	c.waiters.remove(key)
 	if f == nil {
 		f = c.cache.add(now, key)
 	} else {
 		c.cache.setPhase(now, f, phaseClosed)
 	}
 	f.upstream, f.route = choice.upstream, r
-	f.upstream.window.admittedAt = now
+	f.upstream.pacer.AdmittedAt = now
+	if f.upstream.share == 0 {
+		s.spill.AdmittedAt = now
+	}
 	f.nextSeq, f.lastAck = p.Seq+1, 0
 	c.cache.touch(now, f)
 	c.cache.setPhase(now, f, phaseOpening)
@@ -232,6 +246,23 @@
 	return c.forwardTo(choice.upstream, reason)
 }
 
+// handleNotPlaced decides on a SYN for which there is no upstream. If all are at their limits, the
+// caller waits for its next retransmission, or is refused if it would not be served then either. Only a
+// SYN that no host has forwarded is refused, because the flow may be open otherwise.
+func (c *Core) handleNotPlaced(now time.Duration, p *Packet, r *route, f *flow, ch choice) Effect {
+	if ch.reason == ReasonPaced && p.SYNRetransmits == 0 && f == nil {
+		if ch.state.overloaded(now, ch.class) {
+			ch.state.refused(now, ch.class)
+			c.emitOpening("flow refused", now, p, r, ch, ReasonOverloaded)
+			return Effect{Action: Reset, Reason: ReasonOverloaded}
+		}
+		ch.state.asked(now, ch.class)
+		c.waiters.add(now, flowKey{p.Caller, p.Service}, ch.state)
+	}
+	c.emitOpening("flow not opened", now, p, r, ch, ch.reason)
+	return Effect{Action: Drop, Reason: ch.reason}
+}
+
 // keepsUpstream reports whether a retransmitted SYN goes to the upstream of the first one. A second
 // upstream is tried only when needed: if both answer, the caller keeps the token of the later
 // answer.
@@ -252,6 +283,9 @@
 		Event: event, Caller: p.Caller, Address: p.Service, Service: ch.service, Detail: reasonNames[reason], Version: c.version,
 		Age: now - c.storeAnsweredAt, Considered: ch.considered, Suspect: ch.suspect,
 	}
+	if ch.state != nil {
+		rec.Waiting = ch.state.waiting
+	}
 	if u := ch.upstream; u != nil {
 		rec.Upstream, rec.Token, rec.Revision, rec.To = u.Key, u.token, uint64(u.Revision), u.Addr
 		rec.Open, rec.Action = u.busy+u.opening, Forward
--- a/internal/dsr/core_test.go
+++ b/internal/dsr/core_test.go
@@ -35,7 +35,7 @@
 }
 
 // Flows within a zone survive a partition between zones. Upstreams of other zones get flows only
-// when those of the host's own zone are at their window.
+// when those of the host's own zone are at their limits.
 func TestOwnZoneIsPreferred(t *testing.T) {
 	f := newFixture(t)
 	var zones []string
@@ -44,7 +44,7 @@
 		c.request()
 		zones = append(zones, f.upstream(c).Zone)
 	}
-	require.Equal(t, []string{"a", "a", "a", "a"}, zones[:4], "two upstreams with windows of two")
+	require.Equal(t, []string{"a", "a", "a", "a"}, zones[:4], "two upstreams with two slots")
 	require.NotContains(t, zones[4:], "a")
 }
 
--- a/internal/dsr/dsr.go
+++ b/internal/dsr/dsr.go
@@ -110,9 +110,12 @@
 	ReasonStaleConfiguration
 	// ReasonNoUpstream means that the service has no upstream that can take the flow.
 	ReasonNoUpstream
-	// ReasonPaced means that all upstreams that answer are at their window; the caller will
+	// ReasonPaced means that all upstreams that answer are at their limits; the caller will
 	// retransmit the SYN.
 	ReasonPaced
+	// ReasonOverloaded means that all upstreams that answer are at their limits, and that a
+	// retransmission of the SYN would not be served either.
+	ReasonOverloaded
 	// ReasonNoToken means that a packet other than a SYN has no token.
 	ReasonNoToken
 	// ReasonUnknownToken means that no known upstream has the token.
@@ -129,7 +132,7 @@
 // reasonNames holds the names in logs and metrics. ReasonSYNRetransmit is "copy" there.
 var reasonNames = [reasonCount]string{
 	"routed", "placed", "copy", "moved", "malformed", "no configuration", "no route", "stale configuration", "no upstream",
-	"paced", "no token", "unknown token", "upstream gone", "upstream silent",
+	"paced", "overloaded", "no token", "unknown token", "upstream gone", "upstream silent",
 }
 
 // String returns the reason as it appears in logs and metrics.
--- a/internal/dsr/flows.go
+++ b/internal/dsr/flows.go
@@ -27,7 +27,7 @@
 	// phaseOverdue is a flow whose handshake has timed out.
 	phaseOverdue
 	// phaseIdle is an open flow whose caller waits for no answer, or has waited for longer than
-	// busyTimeout.
+	// the timeout of its service.
 	phaseIdle
 	// phaseBusy is a flow whose caller waits for an answer.
 	phaseBusy
@@ -59,11 +59,17 @@
 	// receivedSeq is a sequence number up to which the upstream is known to have the data.
 	receivedSeq    uint32
 	synRetransmits int
+	// spilled is set while the request is counted in the spilled ones of the service.
+	spilled bool
+	// answeredAt is when the last answer was seen; zero is never.
+	answeredAt time.Duration
+	// unqueued is set if the upstream had a free slot when the request in progress was seen.
+	unqueued bool
 	// retransmits counts retransmitted data packets since the last progress and since countedFrom,
 	// which is when the count was last restarted because this host's link was degraded.
 	retransmits int
 	countedFrom time.Duration
-	// pending is set while a request has no answer, also after busyTimeout.
+	// pending is set while a request has no answer, also after phaseBusy.
 	pending bool
 
 	lruLinks, phaseLinks list.Links[flow]
@@ -118,6 +124,10 @@
 // setPhase changes the phase of a flow and updates the counters of its upstream and zone.
 func (c *flowCache) setPhase(now time.Duration, f *flow, to phase) {
 	u := f.upstream
+	if f.spilled {
+		f.spilled = false
+		u.service.spilled--
+	}
 	switch f.phase {
 	case phaseOpening:
 		if f.phaseLinks.Listed() {
@@ -137,16 +147,22 @@
 	case phaseOpening:
 		f.openedAt = now
 		c.opening.Push(f)
+		f.spilled = u.share == 0
 		u.opening++
 		u.zone.opening++
 	case phaseBusy:
 		f.busyAt = now
 		c.busy.Push(f)
+		f.spilled = u.share == 0
+		f.unqueued = u.hasFreeSlot()
 		u.busy++
 		u.flows++
 	case phaseIdle:
 		u.flows++
 	}
+	if f.spilled {
+		u.service.spilled++
+	}
 }
 
 // remove deletes a flow and puts it on the free list.
--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -3,9 +3,12 @@
 import "time"
 
 const (
-	// busyTimeout is when an unanswered request stops counting as work in progress: callers
-	// acknowledge only every second packet, so a short answer may stay unacknowledged.
-	busyTimeout = 500 * time.Millisecond
+	// An unanswered request stops counting as work in progress after busyTimeoutFactor times the
+	// mean time to an answer, within these bounds: callers acknowledge only every second packet, so
+	// a short answer may stay unacknowledged.
+	busyTimeoutMin    = 500 * time.Millisecond
+	busyTimeoutMax    = 4 * time.Second
+	busyTimeoutFactor = 4
 	// silenceTimeout is how long an upstream must not have answered before a flow with an
 	// idempotent request is reset: callers retransmit after 200 and 400 ms.
 	silenceTimeout = 550 * time.Millisecond
@@ -43,7 +46,8 @@
 		c.onAnswer(now, f.progressAt, u)
 		f.progressAt, f.retransmits, f.pending = now, 0, false
 		if f.phase == phaseBusy {
-			c.addLatencySample(now, u, now-f.busyAt)
+			f.answeredAt = now
+			c.addLatencySample(now, f, now-f.busyAt)
 			c.cache.setPhase(now, f, phaseIdle)
 		}
 	}
@@ -64,6 +68,7 @@
 	}
 	f.nextSeq, f.pending = nextSeq, true
 	if f.phase == phaseIdle {
+		c.observeRepeat(now, f)
 		c.cache.setPhase(now, f, phaseBusy)
 		f.progressAt, f.retransmits = now, 0
 	}
@@ -75,6 +80,17 @@
 	}
 }
 
+// observeRepeat records a further request on a flow. Only requests at upstreams that this host is
+// responsible for count as demand: it knows the others in part.
+func (c *Core) observeRepeat(now time.Duration, f *flow) {
+	if f.answeredAt == 0 || f.upstream.share == 0 {
+		return
+	}
+	s := f.upstream.service
+	s.demand.Asked(now)
+	s.idleTime = ewma(s.idleTime, (now - f.answeredAt).Seconds())
+}
+
 // observeRetransmit counts a retransmitted packet. Packets that may have been lost on a degraded
 // link of this host do not count against the upstream.
 func (c *Core) observeRetransmit(now time.Duration, f *flow) {
@@ -89,15 +105,20 @@
 }
 
 // addLatencySample records the time from a request to its answer.
-func (c *Core) addLatencySample(now time.Duration, u *upstream, d time.Duration) {
+func (c *Core) addLatencySample(now time.Duration, f *flow, d time.Duration) {
+	u := f.upstream
 	c.samples = append(c.samples, Sample{SampleAnswer, d})
 	seconds := d.Seconds()
 	u.latency = ewma(u.latency, seconds)
 	u.latencyAt = now
-	if s := c.services[u.Service]; s != nil {
-		// The mean of a service covers more samples than that of one upstream.
-		s.latency = ewma(s.latency, seconds)
-		u.window.addLatencySample(now, d, s.latencyObjective)
+	s := u.service
+	// The mean of a service covers more samples than that of one upstream.
+	s.latency = ewma(s.latency, seconds)
+	if u.share == 0 {
+		s.spill.AddLatency(now, d, s.work, s.latencyObjective)
+	}
+	if f.unqueued {
+		s.work = time.Duration(ewma(float64(s.work), float64(d)))
 	}
 }
 
--- a/internal/dsr/record.go
+++ b/internal/dsr/record.go
@@ -27,6 +27,8 @@
 	// Open the open work of the selected one. For a configuration they are the numbers of its
 	// routes, of its skipped routes and of the routes that it replaces.
 	Considered, Suspect, Open int
+	// Waiting is the number of callers that wait for an upstream of the service.
+	Waiting int
 }
 
 // Routine reports whether the record is of a forwarded packet rather than of a change or a refusal.
--- /dev/null
+++ b/internal/dsr/service.go
@@ -0,0 +1,119 @@
+package dsr
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mimosashore.example/mimosashore/internal/loadcontrol"
+)
+
+// service is the state of a service.
+type service struct {
+	upstreams []*upstream
+	// own holds the upstreams that this host is responsible for, at least in part, and ownSlots the
+	// number of their slots in proportion. Both are out of date while sharesStale is set.
+	own         []*upstream
+	ownSlots    float64
+	sharesStale bool
+	// latency is the mean time from request to answer, in seconds; zero is unknown.
+	latency float64
+	// work is the mean time from request to answer at upstreams with a free slot; zero is unknown.
+	work time.Duration
+	// idleTime is the mean time from an answer to the next request of a flow, in seconds; zero is
+	// unknown.
+	idleTime float64
+	// latencyObjective is the lowest latency objective of the routes to the service, lowestPriority
+	// the priority of the least urgent one.
+	latencyObjective time.Duration
+	lowestPriority   int
+
+	// spill limits spilled, the number of requests of this host at upstreams that others are
+	// responsible for.
+	spill   loadcontrol.Window
+	spilled int
+	// demand is that of all requests, urgentDemand that of urgent ones, which go first.
+	demand, urgentDemand loadcontrol.Demand
+	// waiting is the number of callers that wait for their next retransmission.
+	waiting int
+}
+
+// addRoute adds the latency objective and priority of a route to those of the service.
+func (s *service) addRoute(r *route) {
+	if r.LatencyObjective > 0 && (s.latencyObjective == 0 || r.LatencyObjective < s.latencyObjective) {
+		s.latencyObjective = r.LatencyObjective
+	}
+	s.lowestPriority = max(s.lowestPriority, r.Priority)
+}
+
+// idleFlowLoad returns the expected number of requests in progress on an idle flow.
+func (s *service) idleFlowLoad() float64 {
+	if s.idleTime == 0 || s.work == 0 {
+		return defaultIdleFlowLoad
+	}
+	return s.work.Seconds() / (s.work.Seconds() + s.idleTime)
+}
+
+// busyTimeout returns when an unanswered request stops counting as work in progress.
+func (s *service) busyTimeout() time.Duration {
+	return min(max(busyTimeoutMin, time.Duration(busyTimeoutFactor*s.latency*float64(time.Second))), busyTimeoutMax)
+}
+
+// asked records that a request was placed or that its caller waits.
+func (s *service) asked(now time.Duration, class loadcontrol.Class) {
+	s.demand.Asked(now)
+	if class.Urgent {
+		s.urgentDemand.Asked(now)
+	}
+}
+
+// refused records that an attempt was refused.
+func (s *service) refused(now time.Duration, class loadcontrol.Class) {
+	s.demand.Refused(now)
+	if class.Urgent {
+		s.urgentDemand.Refused(now)
+	}
+}
+
+// overloaded reports whether a caller that has to wait would not be served. Urgent callers compete
+// with urgent ones only.
+func (s *service) overloaded(now time.Duration, class loadcontrol.Class) bool {
+	d := &s.demand
+	if class.Urgent {
+		d = &s.urgentDemand
+	}
+	return d.Exceeds(now, s.ownSlots, s.work, s.waiting)
+}
+
+// SetPosition sets the place of this host among the hosts of its zone.
+func (c *Core) SetPosition(p loadcontrol.Position) {
+	if p == c.position {
+		return
+	}
+	c.position = p
+	for _, s := range c.services {
+		s.sharesStale = true
+	}
+	c.emit(Record{Event: "place among the hosts of the zone changed", Detail: c.zone, Open: p.Index, Considered: p.Count})
+}
+
+// computeShares divides the upstreams of a service in this zone among its hosts. All hosts put them in
+// the same order. Flows stay where they are.
+func (c *Core) computeShares(s *service) {
+	s.sharesStale, s.ownSlots = false, 0
+	var local []*upstream
+	for _, u := range s.upstreams {
+		u.share = 0
+		if u.Zone == c.zone && u.usable() {
+			local = append(local, u)
+		}
+	}
+	slices.SortFunc(local, func(a, b *upstream) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.Key, b.Key)) })
+	s.own = s.own[:0]
+	for j, u := range local {
+		if u.share = c.position.Share(j, len(local)); u.share > 0 {
+			s.own = append(s.own, u)
+			s.ownSlots += u.share * float64(u.Slots)
+		}
+	}
+}
--- a/internal/dsr/state.go
+++ b/internal/dsr/state.go
@@ -8,16 +8,36 @@
 
 // State is the state of a core as shown to operators. Times are in milliseconds.
 type State struct {
-	Ready                 bool            `json:"ready"`
-	Version               uint64          `json:"configuration_version"`
-	ConfigurationRevision uint64          `json:"configuration_revision"`
-	Routes                int             `json:"routes"`
-	Flows                 int             `json:"flows"`
-	StoreDown             bool            `json:"store_down"`
-	StoreAnswerAgeMs      int64           `json:"store_heard_ms"`
-	OwnLinkSuspected      bool            `json:"own_link_suspected"`
-	SuspectZones          []string        `json:"zones_in_doubt"`
-	Upstreams             []UpstreamState `json:"upstreams"`
+	Ready                 bool     `json:"ready"`
+	Version               uint64   `json:"configuration_version"`
+	ConfigurationRevision uint64   `json:"configuration_revision"`
+	Routes                int      `json:"routes"`
+	Flows                 int      `json:"flows"`
+	StoreDown             bool     `json:"store_down"`
+	StoreAnswerAgeMs      int64    `json:"store_heard_ms"`
+	OwnLinkSuspected      bool     `json:"own_link_suspected"`
+	SuspectZones          []string `json:"zones_in_doubt"`
+	// ZoneIndex is the place of this host among the ZoneHosts hosts of its zone; both are zero while
+	// it knows no others.
+	ZoneIndex int             `json:"zone_index"`
+	ZoneHosts int             `json:"zone_hosts"`
+	Services  []ServiceState  `json:"services"`
+	Upstreams []UpstreamState `json:"upstreams"`
+}
+
+// ServiceState is the load of a service as shown to operators.
+type ServiceState struct {
+	Name string `json:"name"`
+	// OwnSlots is the number of slots that this host is responsible for, WorkMs the time that a
+	// request takes one, and Demand the requests per second that are asked of them.
+	OwnSlots float64 `json:"own_slots"`
+	WorkMs   float64 `json:"work_ms"`
+	Demand   float64 `json:"demand"`
+	// Waiting is the number of callers that wait, Spilled that of requests at upstreams of other
+	// hosts, and SpillLimit the largest number of these.
+	Waiting    int     `json:"waiting"`
+	Spilled    int     `json:"spilled"`
+	SpillLimit float64 `json:"spill_limit"`
 }
 
 // UpstreamState is the state of an upstream as shown to operators.
@@ -29,12 +49,13 @@
 	Token    Token  `json:"token"`
 	Revision uint64 `json:"revision"`
 	// Status follows from the registration, Suspicion from the packets that the host has seen.
-	Status    string  `json:"status"`
-	Suspicion string  `json:"suspicion"`
-	Opening   int     `json:"opening"`
-	Busy      int     `json:"busy"`
-	Flows     int     `json:"flows"`
-	Window    float64 `json:"window"`
+	Status    string `json:"status"`
+	Suspicion string `json:"suspicion"`
+	Opening   int    `json:"opening"`
+	Busy      int    `json:"busy"`
+	Flows     int    `json:"flows"`
+	// Share is the part of the upstream that this host is responsible for.
+	Share     float64 `json:"share"`
 	LatencyMs float64 `json:"latency_ms"`
 	// LastAnswerAgeMs is the time since the upstream last answered; -1 if it never has.
 	LastAnswerAgeMs int64 `json:"life_ms"`
@@ -46,7 +67,7 @@
 	s := &State{
 		Ready: c.Ready(), Version: c.version, ConfigurationRevision: c.configRevision, Routes: len(c.routes), Flows: len(c.cache.flows),
 		StoreDown: c.storeDown, StoreAnswerAgeMs: (now - c.storeAnsweredAt).Milliseconds(), OwnLinkSuspected: c.linkMonitor.suspected(now),
-		SuspectZones: []string{}, Upstreams: make([]UpstreamState, 0, len(c.byKey)+len(c.goneList)),
+		SuspectZones: []string{}, Services: []ServiceState{}, Upstreams: make([]UpstreamState, 0, len(c.byKey)+len(c.goneList)),
 	}
 	for name, z := range c.zones {
 		if z.backoff.delay != 0 {
@@ -54,6 +75,17 @@
 		}
 	}
 	slices.Sort(s.SuspectZones)
+	s.ZoneIndex, s.ZoneHosts = c.position.Index, c.position.Count
+	for name, v := range c.services {
+		if v.sharesStale {
+			c.computeShares(v)
+		}
+		s.Services = append(s.Services, ServiceState{
+			Name: name, OwnSlots: v.ownSlots, WorkMs: v.work.Seconds() * 1000, Demand: v.demand.Rate(now),
+			Waiting: v.waiting, Spilled: v.spilled, SpillLimit: v.spill.Size(),
+		})
+	}
+	slices.SortFunc(s.Services, func(a, b ServiceState) int { return cmp.Compare(a.Name, b.Name) })
 	for _, u := range c.byKey {
 		s.Upstreams = append(s.Upstreams, u.state(now))
 	}
@@ -70,7 +102,7 @@
 	s := UpstreamState{
 		Key: u.Key, Service: u.Service, Zone: u.Zone, To: u.Addr.String(), Token: u.token, Revision: uint64(u.Revision),
 		Status: u.status(), Suspicion: u.suspicion(now), Opening: u.opening, Busy: u.busy, Flows: u.flows,
-		Window: u.window.size, LatencyMs: u.latency * 1000, LastAnswerAgeMs: -1,
+		Share: u.share, LatencyMs: u.latency * 1000, LastAnswerAgeMs: -1,
 	}
 	if u.lastAnswerAt != 0 {
 		s.LastAnswerAgeMs = (now - u.lastAnswerAt).Milliseconds()
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mimosashore.example/mimosashore/internal/directory"
+	"mimosashore.example/mimosashore/internal/loadcontrol"
 )
 
 const (
@@ -29,8 +30,9 @@
 // upstream is one incarnation of an upstream.
 type upstream struct {
 	directory.Upstream
-	token Token
-	zone  *zone
+	token   Token
+	zone    *zone
+	service *service
 	// tokenShared is set while another known upstream has the same token.
 	tokenShared bool
 	// unreadable is set while the registration cannot be decoded.
@@ -53,7 +55,11 @@
 	// latency is the mean time from request to answer, in seconds; zero is unknown.
 	latency   float64
 	latencyAt time.Duration
-	window    window
+	pacer     loadcontrol.Pacer
+	// rank orders the upstreams of a service in the same way on all hosts.
+	rank uint64
+	// share is the part of the upstream that this host is responsible for.
+	share float64
 }
 
 // backoff is the time for which an upstream or zone is avoided after failures. It doubles with each
@@ -96,22 +102,16 @@
 	firstTimedOut *upstream
 }
 
-// service is the state of a service.
-type service struct {
-	upstreams []*upstream
-	// latency is the mean time from request to answer, in seconds; zero is unknown.
-	latency float64
-	// latencyObjective is the lowest latency objective of the routes to the service, lowestPriority
-	// the priority of the least urgent one.
-	latencyObjective time.Duration
-	lowestPriority   int
-}
-
 // usable reports whether new flows may be assigned to the upstream.
 func (u *upstream) usable() bool {
 	return !u.gone && !u.Draining && !u.tokenShared && !u.unreadable
 }
 
+// hasFreeSlot reports whether another request is expected to run at once, as far as this host knows.
+func (u *upstream) hasFreeSlot() bool {
+	return u.share > 0 && float64(u.busy) < u.share*float64(u.Slots)
+}
+
 // isSilent reports whether the upstream was found silent within silenceHold.
 func (u *upstream) isSilent(now time.Duration) bool {
 	return u.silentAt != 0 && now-u.silentAt < silenceHold
--- a/internal/dsrhost/decide.go
+++ b/internal/dsrhost/decide.go
@@ -13,7 +13,7 @@
 	"mimosashore.example/mimosashore/internal/netio"
 )
 
-// gaugeInterval is how often gauges are updated from the core.
+// gaugeInterval is how often gauges are updated from the core, and its place from the peers.
 const gaugeInterval = time.Second
 
 // coreLoop is the state of the goroutine that owns the core.
@@ -53,6 +53,7 @@
 			answer <- d.core.State(h.elapsed())
 		case <-ticker.C:
 			d.updateGauges()
+			d.updatePosition()
 		}
 		d.log.write(d.core.TakeRecords())
 		h.stats.observeSamples(d.core.TakeSamples())
@@ -125,6 +126,13 @@
 // publishReadiness updates the readiness check: whether the core can route packets.
 func (d *coreLoop) publishReadiness() { d.host.ready.setReady(d.core.Ready()) }
 
+// updatePosition tells the core the place of this host among the known hosts of its zone.
+func (d *coreLoop) updatePosition() {
+	if p := d.host.peer; p != nil {
+		d.core.SetPosition(p.Position())
+	}
+}
+
 // updateGauges copies the gauges from the core.
 func (d *coreLoop) updateGauges() {
 	s := d.host.stats
@@ -184,6 +192,7 @@
 	number("considered", uint64(r.Considered))
 	number("doubtful", uint64(r.Suspect))
 	number("open", uint64(r.Open))
+	number("waiting", uint64(r.Waiting))
 	if r.Age != 0 {
 		fields = append(fields, zap.Int64("age_ms", r.Age.Milliseconds()))
 	}
--- a/internal/dsrhost/state.go
+++ b/internal/dsrhost/state.go
@@ -90,12 +90,18 @@
 	fmt.Fprintf(t, "configuration version %d of revision %d with %d routes; %d flows\n", s.Version, s.ConfigurationRevision, s.Routes, s.Flows)
 	fmt.Fprintf(t, "store: revision %d, heard %d ms ago, down %t, read by %s; %d hosts known\n",
 		s.Revision, s.StoreAnswerAgeMs, s.StoreDown, cmp.Or(s.Reader, "this host"), s.Peers)
-	fmt.Fprintf(t, "zones in doubt %v, own link suspected %t\n\n", s.SuspectZones, s.OwnLinkSuspected)
-	fmt.Fprintln(t, "SERVICE\tUPSTREAM\tZONE\tADDRESS\tTOKEN\tREVISION\tSTATUS\tSUSPICION\tOPENING\tBUSY\tFLOWS\tWINDOW\tLATENCY MS\tLIFE MS")
+	fmt.Fprintf(t, "zones in doubt %v, own link suspected %t; place %d of %d in the zone\n\n", s.SuspectZones, s.OwnLinkSuspected, s.ZoneIndex, s.ZoneHosts)
+	fmt.Fprintln(t, "SERVICE\tOWN SLOTS\tWORK MS\tDEMAND\tWAITING\tSPILLED\tSPILL LIMIT")
+	for i := range s.Services {
+		v := &s.Services[i]
+		fmt.Fprintf(t, "%s\t%.1f\t%.0f\t%.1f\t%d\t%d\t%.1f\n", v.Name, v.OwnSlots, v.WorkMs, v.Demand, v.Waiting, v.Spilled, v.SpillLimit)
+	}
+	fmt.Fprintln(t)
+	fmt.Fprintln(t, "SERVICE\tUPSTREAM\tZONE\tADDRESS\tTOKEN\tREVISION\tSTATUS\tSUSPICION\tOPENING\tBUSY\tFLOWS\tSHARE\tLATENCY MS\tLIFE MS")
 	for i := range s.Upstreams {
 		u := &s.Upstreams[i]
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\t%d\t%d\t%d\t%.1f\t%.0f\t%d\n", u.Service, u.Key, u.Zone, u.To, u.Token, u.Revision,
-			u.Status, u.Suspicion, u.Opening, u.Busy, u.Flows, u.Window, u.LatencyMs, u.LastAnswerAgeMs)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\t%d\t%d\t%d\t%.2f\t%.0f\t%d\n", u.Service, u.Key, u.Zone, u.To, u.Token, u.Revision,
+			u.Status, u.Suspicion, u.Opening, u.Busy, u.Flows, u.Share, u.LatencyMs, u.LastAnswerAgeMs)
 	}
 	return t.Flush()
 }
