dsr, loadcontrol, soak: a service is overloaded by requests, not by flows, slow links or single late answers

The logs (demand, slots and work are in the line now) show three causes. Idle flows counted with the pause of flows that repeat at once, so those that probes leave open filled the limits. Each opened flow counted as a request, also those of probes without one. The work included the transit, and one answer delayed by seconds by a paused host or a slow link raised it for a second.

Change: an idle flow counts with the requests that flows of the service really repeat. Demand counts requests as they are seen, and callers that wait or are refused. Work is measured without the handshake's time, not on a degraded link, from five samples on and with a bound on each. Callers wait up to one and a half times what the slots can do. A refusal is logged with demand, slots, work and waiting callers.

The soak can't tell a refusal from a missing route by the packet. It reads the refusals that hosts logged, excuses just those flows from CONFIG and checks each against its own figures under a new rule, REFUSED.

--- a/internal/dsr/choose.go
+++ b/internal/dsr/choose.go
@@ -15,9 +15,9 @@
 	slowStartFactor = 1.6
 	// maxLatencyHalfLives is the age, in half-lives, beyond which latency samples are ignored.
 	maxLatencyHalfLives = 8
-	// defaultIdleFlowLoad is the load of an open flow without a request in progress, in requests,
-	// before there are measurements: about one request of 50 ms per second.
-	defaultIdleFlowLoad = 0.05
+	// minFlowLoad is the least load of an open flow, in requests, when upstreams are compared: about
+	// one request of 50 ms per second.
+	minFlowLoad = 0.05
 	// foreignLoad is added to the load of an upstream that other hosts of the zone are responsible
 	// for, in requests: as many as an upstream usually has slots.
 	foreignLoad = 2.0
@@ -48,6 +48,8 @@
 	// that may not answer, full that of other ones at their limit.
 	considered, suspect, full int
 	cost                      float64
+	// repeatLoad is the expected number of requests in progress on an idle flow.
+	repeatLoad float64
 }
 
 // choose selects the upstream with the least expected wait for a new flow. A suspect upstream is
@@ -63,6 +65,7 @@
 	if s.sharesStale {
 		c.computeShares(s)
 	}
+	ch.repeatLoad = s.repeatLoad(now)
 	c.rotation++
 	start := int(((c.rotation * goldenRatioStep) >> 32) % uint64(len(s.upstreams)))
 	spills := s.spill.Admits(now, s.spilled, ch.class)
@@ -106,7 +109,7 @@
 		}
 		return
 	}
-	if cost := c.cost(now, ch.state, u, suspect); cost < ch.cost {
+	if cost := c.cost(now, ch, u, suspect); cost < ch.cost {
 		ch.cost, ch.upstream = cost, u
 	}
 }
@@ -123,15 +126,15 @@
 	}
 	open := float64(u.busy + u.opening)
 	if !ch.class.Urgent {
-		open += s.idleFlowLoad() * float64(u.flows-u.busy)
+		open += ch.repeatLoad * float64(u.flows-u.busy)
 	}
-	work := time.Duration(float64(s.work) * u.slowdown(now, s))
+	work := time.Duration(float64(s.work.Mean()) * u.slowdown(now, s))
 	return u.pacer.Admits(now, open, loadcontrol.Limit(slots, work, objective), ch.class, work)
 }
 
 // cost returns the expected wait at an upstream, in requests per slot.
-func (c *Core) cost(now time.Duration, s *service, u *upstream, suspect bool) float64 {
-	load := float64(u.busy+u.opening) + s.idleFlowLoad()*float64(u.flows)
+func (c *Core) cost(now time.Duration, ch *choice, u *upstream, suspect bool) float64 {
+	load := float64(u.busy+u.opening) + max(ch.repeatLoad, minFlowLoad)*float64(u.flows)
 	switch {
 	case u.Zone != c.zone:
 		load += crossZoneLoad
@@ -141,7 +144,7 @@
 		// The other hosts that share the upstream send it as much in proportion.
 		load /= u.share
 	}
-	cost := (load + 1) * u.slowdown(now, s) / float64(u.Slots)
+	cost := (load + 1) * u.slowdown(now, ch.state) / float64(u.Slots)
 	if suspect {
 		cost += suspectCost
 	}
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -225,9 +225,6 @@
 	if choice.upstream == nil {
 		return c.handleNotPlaced(now, p, r, f, choice)
 	}
-	if p.SYNRetransmits == 0 {
-		s.asked(now, choice.class)
-	}
 	c.waiters.remove(key)
 	if f == nil {
 		f = c.cache.add(now, key)
@@ -283,8 +280,8 @@
 		Event: event, Caller: p.Caller, Address: p.Service, Service: ch.service, Detail: reasonNames[reason], Version: c.version,
 		Age: now - c.storeAnsweredAt, Considered: ch.considered, Suspect: ch.suspect,
 	}
-	if ch.state != nil {
-		rec.Waiting = ch.state.waiting
+	if s := ch.state; s != nil && ch.upstream == nil {
+		rec.Waiting, rec.Demand, rec.Slots, rec.Work = s.waiting, s.demand.Rate(now), s.ownSlots, s.work.Mean()
 	}
 	if u := ch.upstream; u != nil {
 		rec.Upstream, rec.Token, rec.Revision, rec.To = u.Key, u.token, uint64(u.Revision), u.Addr
--- a/internal/dsr/flows.go
+++ b/internal/dsr/flows.go
@@ -48,6 +48,8 @@
 	phase    phase
 	// openedAt is when the flow was assigned to the upstream and its SYN forwarded.
 	openedAt time.Duration
+	// handshake is the time from the last SYN to the completed handshake; zero is unknown.
+	handshake time.Duration
 	// busyAt is when the request in progress was first seen.
 	busyAt time.Duration
 	// progressAt is when the upstream last showed progress on the flow.
@@ -61,8 +63,8 @@
 	synRetransmits int
 	// spilled is set while the request is counted in the spilled ones of the service.
 	spilled bool
-	// answeredAt is when the last answer was seen; zero is never.
-	answeredAt time.Duration
+	// answered is set once a request on the flow was answered.
+	answered bool
 	// unqueued is set if the upstream had a free slot when the request in progress was seen.
 	unqueued bool
 	// retransmits counts retransmitted data packets since the last progress and since countedFrom,
@@ -139,8 +141,10 @@
 		c.busy.Remove(f)
 		u.busy--
 		u.flows--
+		u.service.flows--
 	case phaseIdle:
 		u.flows--
+		u.service.flows--
 	}
 	f.phase = to
 	switch to {
@@ -157,8 +161,10 @@
 		f.unqueued = u.hasFreeSlot()
 		u.busy++
 		u.flows++
+		u.service.flows++
 	case phaseIdle:
 		u.flows++
+		u.service.flows++
 	}
 	if f.spilled {
 		u.service.spilled++
--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -1,6 +1,10 @@
 package dsr
 
-import "time"
+import (
+	"time"
+
+	"mimosashore.example/mimosashore/internal/loadcontrol"
+)
 
 const (
 	// An unanswered request stops counting as work in progress after busyTimeoutFactor times the
@@ -9,6 +13,8 @@
 	busyTimeoutMin    = 500 * time.Millisecond
 	busyTimeoutMax    = 4 * time.Second
 	busyTimeoutFactor = 4
+	// minWork is the least time that a request takes a slot, after the transit is subtracted.
+	minWork = time.Millisecond
 	// silenceTimeout is how long an upstream must not have answered before a flow with an
 	// idempotent request is reset: callers retransmit after 200 and 400 ms.
 	silenceTimeout = 550 * time.Millisecond
@@ -32,7 +38,8 @@
 			c.linkMonitor.handshakeCompleted(now, f.openedAt)
 		}
 		f.lastAck, f.receivedSeq = p.Ack, p.Seq
-		c.samples = append(c.samples, Sample{SampleHandshake, now - f.openedAt})
+		f.handshake = now - f.openedAt
+		c.samples = append(c.samples, Sample{SampleHandshake, f.handshake})
 		c.onAnswer(now, f.openedAt, u)
 		f.progressAt, f.retransmits = now, 0
 		c.cache.setPhase(now, f, phaseIdle)
@@ -46,7 +53,7 @@
 		c.onAnswer(now, f.progressAt, u)
 		f.progressAt, f.retransmits, f.pending = now, 0, false
 		if f.phase == phaseBusy {
-			f.answeredAt = now
+			f.answered = true
 			c.addLatencySample(now, f, now-f.busyAt)
 			c.cache.setPhase(now, f, phaseIdle)
 		}
@@ -68,7 +75,7 @@
 	}
 	f.nextSeq, f.pending = nextSeq, true
 	if f.phase == phaseIdle {
-		c.observeRepeat(now, f)
+		c.observeRequest(now, f)
 		c.cache.setPhase(now, f, phaseBusy)
 		f.progressAt, f.retransmits = now, 0
 	}
@@ -80,15 +87,16 @@
 	}
 }
 
-// observeRepeat records a further request on a flow. Only requests at upstreams that this host is
+// observeRequest records a new request on a flow. Only requests at upstreams that this host is
 // responsible for count as demand: it knows the others in part.
-func (c *Core) observeRepeat(now time.Duration, f *flow) {
-	if f.answeredAt == 0 || f.upstream.share == 0 {
-		return
-	}
+func (c *Core) observeRequest(now time.Duration, f *flow) {
 	s := f.upstream.service
-	s.demand.Asked(now)
-	s.idleTime = ewma(s.idleTime, (now - f.answeredAt).Seconds())
+	if f.answered {
+		s.repeats.Asked(now)
+	}
+	if f.upstream.share > 0 {
+		s.asked(now, loadcontrol.Class{Urgent: f.route != nil && f.route.Priority < s.lowestPriority})
+	}
 }
 
 // observeRetransmit counts a retransmitted packet. Packets that may have been lost on a degraded
@@ -115,10 +123,10 @@
 	// The mean of a service covers more samples than that of one upstream.
 	s.latency = ewma(s.latency, seconds)
 	if u.share == 0 {
-		s.spill.AddLatency(now, d, s.work, s.latencyObjective)
+		s.spill.AddLatency(now, d, s.work.Mean(), s.latencyObjective)
 	}
-	if f.unqueued {
-		s.work = time.Duration(ewma(float64(s.work), float64(d)))
+	if f.unqueued && !c.linkMonitor.recentlyDegraded(now) {
+		s.work.Add(max(d-f.handshake, minWork))
 	}
 }
 
--- a/internal/dsr/record.go
+++ b/internal/dsr/record.go
@@ -29,6 +29,10 @@
 	Considered, Suspect, Open int
 	// Waiting is the number of callers that wait for an upstream of the service.
 	Waiting int
+	// Demand is the number of requests per second that are asked of the Slots of this host, and Work
+	// the time that a request takes one of them.
+	Demand, Slots float64
+	Work          time.Duration
 }
 
 // Routine reports whether the record is of a forwarded packet rather than of a change or a refusal.
--- a/internal/dsr/service.go
+++ b/internal/dsr/service.go
@@ -18,11 +18,12 @@
 	sharesStale bool
 	// latency is the mean time from request to answer, in seconds; zero is unknown.
 	latency float64
-	// work is the mean time from request to answer at upstreams with a free slot; zero is unknown.
-	work time.Duration
-	// idleTime is the mean time from an answer to the next request of a flow, in seconds; zero is
-	// unknown.
-	idleTime float64
+	// work is the time from request to answer at upstreams with a free slot, without the transit.
+	work loadcontrol.Work
+	// flows is the number of open flows of this host, repeats the demand of their requests after the
+	// first.
+	flows   int
+	repeats loadcontrol.Demand
 	// latencyObjective is the lowest latency objective of the routes to the service, lowestPriority
 	// the priority of the least urgent one.
 	latencyObjective time.Duration
@@ -46,12 +47,10 @@
 	s.lowestPriority = max(s.lowestPriority, r.Priority)
 }
 
-// idleFlowLoad returns the expected number of requests in progress on an idle flow.
-func (s *service) idleFlowLoad() float64 {
-	if s.idleTime == 0 || s.work == 0 {
-		return defaultIdleFlowLoad
-	}
-	return s.work.Seconds() / (s.work.Seconds() + s.idleTime)
+// repeatLoad returns the mean number of requests in progress on an open flow that were not its first.
+// Flows that were left open without further requests lower it.
+func (s *service) repeatLoad(now time.Duration) float64 {
+	return min(1, s.repeats.Rate(now)*s.work.Mean().Seconds()/float64(max(s.flows, 1)))
 }
 
 // busyTimeout returns when an unanswered request stops counting as work in progress.
@@ -59,7 +58,7 @@
 	return min(max(busyTimeoutMin, time.Duration(busyTimeoutFactor*s.latency*float64(time.Second))), busyTimeoutMax)
 }
 
-// asked records that a request was placed or that its caller waits.
+// asked records that a request was sent to an upstream or that its caller waits.
 func (s *service) asked(now time.Duration, class loadcontrol.Class) {
 	s.demand.Asked(now)
 	if class.Urgent {
@@ -82,7 +81,7 @@
 	if class.Urgent {
 		d = &s.urgentDemand
 	}
-	return d.Exceeds(now, s.ownSlots, s.work, s.waiting)
+	return d.Exceeds(now, s.ownSlots, s.work.Mean(), s.waiting)
 }
 
 // SetPosition sets the place of this host among the hosts of its zone.
--- a/internal/dsr/state.go
+++ b/internal/dsr/state.go
@@ -81,7 +81,7 @@
 			c.computeShares(v)
 		}
 		s.Services = append(s.Services, ServiceState{
-			Name: name, OwnSlots: v.ownSlots, WorkMs: v.work.Seconds() * 1000, Demand: v.demand.Rate(now),
+			Name: name, OwnSlots: v.ownSlots, WorkMs: v.work.Mean().Seconds() * 1000, Demand: v.demand.Rate(now),
 			Waiting: v.waiting, Spilled: v.spilled, SpillLimit: v.spill.Size(),
 		})
 	}
--- a/internal/dsrhost/decide.go
+++ b/internal/dsrhost/decide.go
@@ -193,6 +193,9 @@
 	number("doubtful", uint64(r.Suspect))
 	number("open", uint64(r.Open))
 	number("waiting", uint64(r.Waiting))
+	if r.Slots != 0 {
+		fields = append(fields, zap.Float64("demand", r.Demand), zap.Float64("slots", r.Slots), zap.Int64("work_ms", r.Work.Milliseconds()))
+	}
 	if r.Age != 0 {
 		fields = append(fields, zap.Int64("age_ms", r.Age.Milliseconds()))
 	}
--- a/internal/loadcontrol/demand.go
+++ b/internal/loadcontrol/demand.go
@@ -11,8 +11,8 @@
 	// refusedWeight is the weight of a refused attempt: callers repeat it twice, at once.
 	refusedWeight = 1.0 / 3
 	// demandTolerance is the multiple of what the slots can do up to which callers wait: the demand
-	// of a second varies by about a tenth around its mean.
-	demandTolerance = 1.2
+	// varies, and slow links make the work seem longer than it is.
+	demandTolerance = 1.5
 	// attemptTime is how long a caller waits for an attempt before it ends it.
 	attemptTime = 1400 * time.Millisecond
 )
@@ -26,7 +26,7 @@
 	at     time.Duration
 }
 
-// Asked records a request that was placed or whose caller waits.
+// Asked records a request that was sent to an upstream or whose caller waits.
 func (d *Demand) Asked(now time.Duration) { d.add(now, 1) }
 
 // Refused records an attempt that was refused.
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -243,6 +243,11 @@
 // report checks the record and the processes.
 func (e *platformEnv) report(faults int) *Report {
 	e.record.collectObservations()
+	for _, h := range e.hosts {
+		if err := e.record.readRefusals(h.output); err != nil {
+			e.record.fail(h.name + ": " + err.Error())
+		}
+	}
 	r := e.record.verify(e.deploy.applyWithin)
 	r.Faults = faults
 	r.Failures = append(r.Failures, e.record.failures...)
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -22,6 +22,8 @@
 	configurations []configuration
 	upstreams      []*upstreamInstance
 	hostRuns       []hostRun
+	// refusals holds the flows that hosts refused because of load, by caller.
+	refusals map[netip.AddrPort][]refusal
 	// failures are faults that could not be injected and failed planned stops.
 	failures []string
 }
@@ -107,7 +109,9 @@
 	from, to time.Time
 }
 
-func newRecord() *record { return &record{disruptions: make(map[string][]*disruption)} }
+func newRecord() *record {
+	return &record{disruptions: make(map[string][]*disruption), refusals: make(map[netip.AddrPort][]refusal)}
+}
 
 // beginDisruption records the start of a disruption of the target. The returned
 // function records its end.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -19,6 +19,7 @@
 //	CONFIG   hosts apply a configuration in time and never revert to an older one
 //	DRAIN    a withdrawn upstream receives no new flows after a bound
 //	FLOW     an open flow stays on its upstream
+//	REFUSED  flows are refused because of load only if more is asked than upstreams can do
 //	SERVED   without unplanned disruptions, all requests are served
 package soak
 
--- a/internal/soak/verify_test.go
+++ b/internal/soak/verify_test.go
@@ -88,6 +88,12 @@
 	s.disruptions[target] = append(s.disruptions[target], &disruption{from: second(from), to: second(to), planned: planned})
 }
 
+// logRefusal makes a host log that it refused the last flow because of load.
+func (s *scenario) logRefusal(r refusal) {
+	caller := s.flows[len(s.flows)-1].trace.Local
+	s.refusals[caller] = append(s.refusals[caller], r)
+}
+
 // TestViolationsAreFound guards against a verifier that misses a violation, or reports
 // one where the rule does not apply. The wanted text is the violated rule, or empty.
 func TestViolationsAreFound(t *testing.T) {
@@ -123,7 +129,19 @@
 			s.addDisruption("store", 38, 41, false)
 			s.openFlow(44, hostA, ordersRoute, s.orders, 0)
 		}, ""},
-		"a refusal although the route is in force":    {func(s *scenario) { s.refuseFlow(30, hostB, probeRoute(1), 2) }, "CONFIG"},
+		"a refusal although the route is in force": {func(s *scenario) { s.refuseFlow(30, hostB, probeRoute(1), 2) }, "CONFIG"},
+		"a refusal because of load": {func(s *scenario) {
+			s.refuseFlow(30, hostB, probeRoute(1), 2)
+			s.logRefusal(refusal{Time: second(30), Demand: 100, WorkMs: 30, Slots: 2})
+		}, ""},
+		"a refusal because of load, of another flow": {func(s *scenario) {
+			s.refuseFlow(30, hostB, probeRoute(1), 2)
+			s.logRefusal(refusal{Time: second(20), Demand: 100, WorkMs: 30, Slots: 2})
+		}, "CONFIG"},
+		"a refusal because of load that the upstreams could bear": {func(s *scenario) {
+			s.refuseFlow(30, hostB, probeRoute(1), 2)
+			s.logRefusal(refusal{Time: second(30), Demand: 20, WorkMs: 30, Slots: 2})
+		}, "REFUSED"},
 		"a refusal before the route must be in force": {func(s *scenario) { s.refuseFlow(21, hostB, probeRoute(1), 2) }, ""},
 		"a host reverts to an older version": {func(s *scenario) {
 			s.openFlow(20.2, hostA, probeRoute(1), s.feed, 2)
