dsrpeer, dsr: hosts of a zone keep knowing each other; shares follow each change; who waits counts once

Cause, found by reading and by TestHostsOfZoneKeepKnowingEachOther: with hellos to random contacts and an expiry of 60 s, hosts of a zone forget each other for a while and divide the upstreams anew without cause (11 of 13 known at 2 min 1 s in the simulation; 12 of 13 with an expiry of 100 s). Besides, the division was not renewed when a registration changed its slots or zone, became unreadable or readable again, and a caller who waited and was then placed counted twice in the demand.

Change: all hosts of a zone send their hellos to the same contact, the next one if it does not answer, so this one knows them all; the expiry is three intervals of hellos. Shares are renewed with each such change. A caller who waited in vain counts when its last retransmission is over, one who is placed with its request.

--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -31,6 +31,7 @@
 			// The key may have been overwritten by another writer, so the upstream keeps its open
 			// flows.
 			u.unreadable = true
+			u.service.sharesStale = true
 		default:
 			c.removeRegistration(now, u)
 		}
@@ -98,9 +99,11 @@
 			if !d.Draining {
 				event = "upstream no longer draining"
 			}
-			c.serviceOf(u.Service).sharesStale = true
 			c.emit(Record{Event: event, Upstream: d.Key, Service: d.Service, Revision: uint64(d.Revision)})
 		}
+		if u.unreadable || d.Draining != u.Draining || d.Slots != u.Slots || d.Zone != u.Zone {
+			u.service.sharesStale = true
+		}
 		u.Upstream = *d
 		u.removeAt, u.unreadable = 0, false
 		return
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -253,8 +253,7 @@
 			c.emitOpening("flow refused", now, p, r, ch, ReasonOverloaded)
 			return Effect{Action: Reset, Reason: ReasonOverloaded}
 		}
-		ch.state.asked(now, ch.class)
-		c.waiters.add(now, flowKey{p.Caller, p.Service}, ch.state)
+		c.waiters.add(now, flowKey{p.Caller, p.Service}, ch.state, ch.class)
 	}
 	c.emitOpening("flow not opened", now, p, r, ch, ch.reason)
 	return Effect{Action: Drop, Reason: ch.reason}
--- a/internal/dsr/refuse_test.go
+++ b/internal/dsr/refuse_test.go
@@ -130,7 +130,7 @@
 	require.NotContains(t, f.core.waiters.byKey, flowKey{waiting.address(), configuration(1).Routes[0].Addr})
 	for n := range maxWaiters + 10 {
 		caller := netip.AddrPortFrom(netip.MustParseAddr("100.64.9.9"), uint16(n))
-		f.core.waiters.add(f.now, flowKey{caller, configuration(1).Routes[0].Addr}, s)
+		f.core.waiters.add(f.now, flowKey{caller, configuration(1).Routes[0].Addr}, s, loadcontrol.Class{})
 	}
 	require.Len(t, f.core.waiters.byKey, maxWaiters)
 	require.Equal(t, maxWaiters, s.waiting)
--- a/internal/dsr/service.go
+++ b/internal/dsr/service.go
@@ -58,7 +58,7 @@
 	return min(max(busyTimeoutMin, time.Duration(busyTimeoutFactor*s.latency*float64(time.Second))), busyTimeoutMax)
 }
 
-// asked records that a request was sent to an upstream or that its caller waits.
+// asked records that a request was sent to an upstream, or that its caller waited in vain.
 func (s *service) asked(now time.Duration, class loadcontrol.Class) {
 	s.demand.Asked(now)
 	if class.Urgent {
--- a/internal/dsr/waiters.go
+++ b/internal/dsr/waiters.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mimosashore.example/mimosashore/internal/list"
+	"mimosashore.example/mimosashore/internal/loadcontrol"
 )
 
 const (
@@ -17,6 +18,7 @@
 type waiter struct {
 	key     flowKey
 	service *service
+	class   loadcontrol.Class
 	since   time.Duration
 	links   list.Links[waiter]
 }
@@ -34,14 +36,14 @@
 
 // add adds a caller unless it waits already. If the table is full, the caller that has waited longest
 // is no longer counted.
-func (t *waiters) add(now time.Duration, key flowKey, s *service) {
+func (t *waiters) add(now time.Duration, key flowKey, s *service, class loadcontrol.Class) {
 	if t.byKey[key] != nil {
 		return
 	}
 	if len(t.byKey) >= maxWaiters {
 		t.remove(t.order.First().key)
 	}
-	w := &waiter{key: key, service: s, since: now}
+	w := &waiter{key: key, service: s, class: class, since: now}
 	t.byKey[key] = w
 	t.order.Push(w)
 	s.waiting++
@@ -56,9 +58,11 @@
 	}
 }
 
-// expire removes callers that have retransmitted for the last time.
+// expire removes callers that have retransmitted for the last time, and counts them as demand. Those
+// that were placed count with their requests.
 func (t *waiters) expire(now time.Duration) {
 	for w := t.order.First(); w != nil && now-w.since > waitTime; w = t.order.First() {
+		w.service.asked(now, w.class)
 		t.remove(w.key)
 	}
 }
--- a/internal/dsrpeer/follow.go
+++ b/internal/dsrpeer/follow.go
@@ -16,8 +16,8 @@
 // the first few hellos.
 func (p *Peer) SendHellos(ctx context.Context) {
 	interval := helloMinInterval
-	for n := 0; ctx.Err() == nil; n++ {
-		if !p.helloAny(ctx, n < contactHellos || n%contactHelloInterval == 0) {
+	for ctx.Err() == nil {
+		if !p.helloAny(ctx) {
 			sleep(ctx, helloRetry)
 			continue
 		}
@@ -78,12 +78,9 @@
 }
 
 // helloAny sends hellos until a host answers. It reports false if hosts are known
-// but none answered. The contacts, to which all hosts send hellos, know most hosts.
-func (p *Peer) helloAny(ctx context.Context, contactsFirst bool) bool {
-	hosts := p.peers.list(p.settings.Now())
-	if contactsFirst {
-		hosts = p.peers.contactsFirst(p.settings.Now())
-	}
+// but none answered. It tries contacts first, since all hosts of the zone send hellos to them.
+func (p *Peer) helloAny(ctx context.Context) bool {
+	hosts := p.peers.helloOrder(p.settings.Now())
 	if len(hosts) == 0 {
 		return true
 	}
--- a/internal/dsrpeer/peer.go
+++ b/internal/dsrpeer/peer.go
@@ -38,11 +38,6 @@
 	helloMinInterval = 1500 * time.Millisecond
 	helloMaxInterval = 25 * time.Second
 	helloRetry       = 500 * time.Millisecond
-	// contactHellos is the number of first hellos that go to contacts. Later ones go to any known
-	// host, so that contacts don't have to answer the whole fleet, except for every
-	// contactHelloInterval-th one, which joins parts of the fleet that don't know each other.
-	contactHellos        = 3
-	contactHelloInterval = 4
 	// maxReaderStoreAge is the longest time since the last store answer of a host that
 	// reads the store for others: the sum of a watch, its timeout and a pause.
 	maxReaderStoreAge = 4 * time.Second
--- a/internal/dsrpeer/peer_test.go
+++ b/internal/dsrpeer/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"strings"
 	"sync"
@@ -18,6 +19,7 @@
 	"mimosashore.example/mimosashore/internal/logging"
 	"mimosashore.example/mimosashore/internal/replica"
 	"mimosashore.example/mimosashore/internal/store"
+	"mimosashore.example/mimosashore/internal/virtualtime"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -256,6 +258,54 @@
 	require.Len(t, places, 6)
 }
 
+// Hosts send a hello to one of three contacts every helloMaxInterval, one of which is down for a while. All of a zone must keep knowing
+// each other, or their division of the upstreams changes without cause, and forget one that ended.
+func TestHostsOfZoneKeepKnowingEachOther(t *testing.T) {
+	const hosts, zones = 78, 6
+	at := func(n int) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 1) }
+	zone := func(n int) string { return fmt.Sprint("zone", n%zones) }
+	random := rand.New(rand.NewPCG(1, 1))
+	var queue virtualtime.Queue
+	var tables []*peerTable
+	for n := range hosts {
+		tables = append(tables, newPeerTable(at(n), zone(n), []netip.AddrPort{at(0), at(1), at(2)}))
+	}
+	ended, down := -1, -1
+	for n := range hosts {
+		hello := func() {
+			now := queue.Now()
+			order := tables[n].helloOrder(now)
+			c := int(order[0].Addr().As4()[3])
+			if c == down {
+				c = int(order[1].Addr().As4()[3])
+			}
+			if n == ended {
+				return
+			}
+			tables[c].add(now, now, at(n), zone(n))
+			tables[n].addNamed(now, tables[c].peerInfos(now, zone(n)))
+			tables[n].add(now, now, at(c), zone(c))
+		}
+		queue.After(time.Duration(random.Int64N(int64(helloMaxInterval))), func() {
+			hello()
+			queue.Every(helloMaxInterval, hello)
+		})
+	}
+	queue.RunUntil(2 * time.Minute)
+	for queue.Now() < 12*time.Minute {
+		queue.RunUntil(queue.Now() + time.Second)
+		if queue.Now() == 5*time.Minute {
+			down = 1
+		}
+		for n, table := range tables {
+			require.Equal(t, hosts/zones, table.position(queue.Now()).Count, "host %d at %v", n, queue.Now())
+		}
+	}
+	ended = hosts - 1
+	queue.RunUntil(queue.Now() + 2*peerExpiry)
+	require.Equal(t, hosts/zones-1, tables[zones-1].position(queue.Now()).Count)
+}
+
 // A message names the hosts of the receiver's zone before others.
 func TestMessageNamesHostsOfZoneFirst(t *testing.T) {
 	p := newPeerTable(netip.MustParseAddrPort("10.0.0.1:1"), "a", nil)
--- a/internal/dsrpeer/peertable.go
+++ b/internal/dsrpeer/peertable.go
@@ -17,9 +17,9 @@
 	// maxKnownPeers is the capacity of the peer table. It holds the hosts of the largest planned zone,
 	// 814, which divide the zone's upstreams among themselves.
 	maxKnownPeers = 1024
-	// peerExpiry is the time without a sign of a host after which it is removed. Hosts send a hello at
-	// least every helloMaxInterval.
-	peerExpiry = 60 * time.Second
+	// peerExpiry is the time without a sign of a host after which it is removed. A hello takes up to
+	// one helloMaxInterval to reach the zone's contact, and another one until a host asks that one.
+	peerExpiry = 3 * helloMaxInterval
 	// storeReadersPerZone is the number of hosts of a zone that read the store for
 	// the others; the second is the standby for a failure of the first.
 	storeReadersPerZone = 2
@@ -134,22 +134,22 @@
 	return out
 }
 
-// contactsFirst returns the contacts in random order, followed by the other known hosts.
-func (t *peerTable) contactsFirst(now time.Duration) []netip.AddrPort {
-	hosts := t.list(now)
+// helloOrder returns the hosts to try for a hello: the contacts, then the known hosts in random order.
+// All hosts of a zone put the contacts in the same order, so that one of these knows all of them.
+func (t *peerTable) helloOrder(now time.Duration) []netip.AddrPort {
+	known := t.list(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	slices.SortStableFunc(hosts, func(a, b netip.AddrPort) int {
-		return cmp.Compare(boolRank(!slices.Contains(t.contacts, a)), boolRank(!slices.Contains(t.contacts, b)))
-	})
-	return hosts
-}
-
-func boolRank(b bool) int {
-	if b {
-		return 1
+	out := slices.Clone(t.contacts)
+	out = slices.DeleteFunc(out, func(a netip.AddrPort) bool { return a == t.self })
+	zone := xxhash.Sum64String(t.zone)
+	slices.SortFunc(out, func(a, b netip.AddrPort) int { return cmp.Compare(rank(a)^zone, rank(b)^zone) })
+	for _, a := range known {
+		if !slices.Contains(t.contacts, a) {
+			out = append(out, a)
+		}
 	}
-	return 0
+	return out
 }
 
 // peerInfos returns up to maxPeers known hosts for a message to a host of a zone, those of its zone
--- a/internal/loadcontrol/demand.go
+++ b/internal/loadcontrol/demand.go
@@ -26,7 +26,7 @@
 	at     time.Duration
 }
 
-// Asked records a request that was sent to an upstream or whose caller waits.
+// Asked records a request that was sent to an upstream or whose caller waited in vain.
 func (d *Demand) Asked(now time.Duration) { d.add(now, 1) }
 
 // Refused records an attempt that was refused.
