dsr, dsrpeer: zones without upstreams, zones cut off from the contacts

Cause, found by reading: in a zone without upstreams a host is responsible for none, so any wait counted as an overload, and a burst of returning callers was refused at once. In a zone that is cut off from the contacts, hosts sent hellos to random hosts, and forgot each other as with random contacts.

Change: without upstreams in its zone, a host takes an equal part of all slots of the service for its own, and measures work and demand at all upstreams. After the contacts, hosts of a zone try each other in one order.

--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -88,13 +88,13 @@
 }
 
 // observeRequest records a new request on a flow. Only requests at upstreams that this host is
-// responsible for count as demand: it knows the others in part.
+// responsible for count as demand, unless there are none: it knows the others in part.
 func (c *Core) observeRequest(now time.Duration, f *flow) {
 	s := f.upstream.service
 	if f.answered {
 		s.repeats.Asked(now)
 	}
-	if f.upstream.share > 0 {
+	if f.upstream.share > 0 || len(s.own) == 0 {
 		s.asked(now, loadcontrol.Class{Urgent: f.route != nil && f.route.Priority < s.lowestPriority})
 	}
 }
--- a/internal/dsr/refuse_test.go
+++ b/internal/dsr/refuse_test.go
@@ -251,3 +251,20 @@
 	}
 	require.Less(t, s.demand.Rate(f.now), 5.0)
 }
+
+// A host whose zone has no upstreams sends all flows to other zones. Callers wait there as well before
+// they are refused.
+func TestZoneWithoutUpstreamsIsNotOverloaded(t *testing.T) {
+	f := newFixture(t)
+	f.core = New("d", testFormat{}, 0)
+	ch := &directory.Change{Full: true, Revision: f.rev, Configuration: configuration(1), Upstreams: []directory.Upstream{testUpstream(1, "orders", "a")}}
+	f.core.StoreAnswered(f.now)
+	f.core.Apply(f.now, ch)
+	s := f.core.services["orders"]
+	s.setWork(30 * time.Millisecond)
+	for range 12 {
+		e := f.caller(streamPort).sendSYN()
+		require.NotEqual(t, Reset, e.Action)
+	}
+	require.Positive(t, s.waiting)
+}
--- a/internal/dsr/service.go
+++ b/internal/dsr/service.go
@@ -12,7 +12,8 @@
 type service struct {
 	upstreams []*upstream
 	// own holds the upstreams that this host is responsible for, at least in part, and ownSlots the
-	// number of their slots in proportion. Both are out of date while sharesStale is set.
+	// number of their slots in proportion. In a zone without upstreams, own is empty and ownSlots an
+	// equal part of all slots. Both are out of date while sharesStale is set.
 	own         []*upstream
 	ownSlots    float64
 	sharesStale bool
@@ -115,4 +116,23 @@
 			s.ownSlots += u.share * float64(u.Slots)
 		}
 	}
+	if len(local) == 0 {
+		s.ownSlots = c.partOfAllSlots(s)
+	}
+}
+
+// partOfAllSlots returns this host's part of the slots of a service if each zone, and each host of it,
+// had an equal one.
+func (c *Core) partOfAllSlots(s *service) float64 {
+	slots := 0
+	for _, u := range s.upstreams {
+		if u.usable() {
+			slots += u.Slots
+		}
+	}
+	zones := len(c.zones)
+	if c.zones[c.zone] == nil {
+		zones++
+	}
+	return float64(slots) / float64(zones*max(c.position.Count, 1))
 }
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -109,7 +109,11 @@
 
 // hasFreeSlot reports whether another request is expected to run at once, as far as this host knows.
 func (u *upstream) hasFreeSlot() bool {
-	return u.share > 0 && float64(u.busy) < u.share*float64(u.Slots)
+	share := u.share
+	if len(u.service.own) == 0 {
+		share = 1
+	}
+	return float64(u.busy) < share*float64(u.Slots)
 }
 
 // isSilent reports whether the upstream was found silent within silenceHold.
--- a/internal/dsrpeer/peer_test.go
+++ b/internal/dsrpeer/peer_test.go
@@ -258,7 +258,7 @@
 	require.Len(t, places, 6)
 }
 
-// Hosts send a hello to one of three contacts every helloMaxInterval, one of which is down for a while. All of a zone must keep knowing
+// Hosts send a hello to one of three contacts every helloMaxInterval, one of which is down for a while, and then all. All of a zone must keep knowing
 // each other, or their division of the upstreams changes without cause, and forget one that ended.
 func TestHostsOfZoneKeepKnowingEachOther(t *testing.T) {
 	const hosts, zones = 78, 6
@@ -270,18 +270,20 @@
 	for n := range hosts {
 		tables = append(tables, newPeerTable(at(n), zone(n), []netip.AddrPort{at(0), at(1), at(2)}))
 	}
-	ended, down := -1, -1
+	ended := -1
+	down := make(map[int]bool)
 	for n := range hosts {
 		hello := func() {
 			now := queue.Now()
-			order := tables[n].helloOrder(now)
-			c := int(order[0].Addr().As4()[3])
-			if c == down {
-				c = int(order[1].Addr().As4()[3])
-			}
 			if n == ended {
 				return
 			}
+			c := n
+			for _, a := range tables[n].helloOrder(now) {
+				if c = int(a.Addr().As4()[3]); !down[c] && c != ended {
+					break
+				}
+			}
 			tables[c].add(now, now, at(n), zone(n))
 			tables[n].addNamed(now, tables[c].peerInfos(now, zone(n)))
 			tables[n].add(now, now, at(c), zone(c))
@@ -295,7 +297,10 @@
 	for queue.Now() < 12*time.Minute {
 		queue.RunUntil(queue.Now() + time.Second)
 		if queue.Now() == 5*time.Minute {
-			down = 1
+			down[1] = true
+		}
+		if queue.Now() == 8*time.Minute {
+			down[0], down[2] = true, true
 		}
 		for n, table := range tables {
 			require.Equal(t, hosts/zones, table.position(queue.Now()).Count, "host %d at %v", n, queue.Now())
--- a/internal/dsrpeer/peertable.go
+++ b/internal/dsrpeer/peertable.go
@@ -134,22 +134,30 @@
 	return out
 }
 
-// helloOrder returns the hosts to try for a hello: the contacts, then the known hosts in random order.
-// All hosts of a zone put the contacts in the same order, so that one of these knows all of them.
+// helloOrder returns the hosts to try for a hello: the contacts, the known hosts of the zone, then the
+// others in random order. All hosts of a zone put the first two in the same order, so that the first
+// one that answers knows all of them, also while the zone is cut off from the contacts.
 func (t *peerTable) helloOrder(now time.Duration) []netip.AddrPort {
 	known := t.list(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := slices.Clone(t.contacts)
-	out = slices.DeleteFunc(out, func(a netip.AddrPort) bool { return a == t.self })
 	zone := xxhash.Sum64String(t.zone)
-	slices.SortFunc(out, func(a, b netip.AddrPort) int { return cmp.Compare(rank(a)^zone, rank(b)^zone) })
-	for _, a := range known {
-		if !slices.Contains(t.contacts, a) {
-			out = append(out, a)
+	place := func(a netip.AddrPort) (int, uint64) {
+		switch e, ok := t.hosts[a]; {
+		case slices.Contains(t.contacts, a):
+			return 0, rank(a) ^ zone
+		case ok && e.zone == t.zone:
+			return 1, rank(a)
+		default:
+			return 2, 0
 		}
 	}
-	return out
+	slices.SortStableFunc(known, func(a, b netip.AddrPort) int {
+		groupA, rankA := place(a)
+		groupB, rankB := place(b)
+		return cmp.Or(cmp.Compare(groupA, groupB), cmp.Compare(rankA, rankB))
+	})
+	return known
 }
 
 // peerInfos returns up to maxPeers known hosts for a message to a host of a zone, those of its zone
