--- a/internal/soak/network.go
+++ b/internal/soak/network.go
@@ -14,7 +14,7 @@
 	// firstNetwork and networkCount are the loopback networks 127.n.0.0/16 that runs use.
 	firstNetwork = 20
 	networkCount = 200
-	// claimPort is the port at claimAddress of a network that is bound for as long as a run uses it.
+	// claimPort is the port at 127.n.255.254 that is bound for as long as a run uses network n.
 	claimPort = 7299
 	// hostDataPort, hostControlPort, hostAdminPort and hostReadyPort are the ports of hosts.
 	hostDataPort    = 7400
