dsr: a delayed duplicate of a SYN is not refused

Cause, found by reading: a first SYN for a flow that was open already removed the flow from the cache as a reuse of its port. Under overload a network duplicate of the SYN was then taken for a new flow and reset, which ends the open flow at its caller and tells it that nothing ran. Change: the flow stays in the cache until the SYN is placed, and a SYN of a known flow is never refused.

--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -208,12 +208,10 @@
 	}
 	key := flowKey{p.Caller, p.Service}
 	f := c.cache.flows[key]
-	if f != nil && p.SYNRetransmits == 0 && f.phase != phaseOpening && f.phase != phaseOverdue {
-		c.cache.remove(f)
-		f = nil
-	}
+	// A first SYN for a flow whose handshake was completed reuses its port, or is a late duplicate.
+	reused := f != nil && p.SYNRetransmits == 0 && f.phase != phaseOpening && f.phase != phaseOverdue
 	reason := ReasonPlaced
-	if f != nil {
+	if f != nil && !reused {
 		f.synRetransmits++
 		if c.keepsUpstream(now, f) {
 			return c.forwardTo(f.upstream, ReasonSYNRetransmit)
@@ -225,6 +223,10 @@
 	if choice.upstream == nil {
 		return c.handleNotPlaced(now, p, r, f, choice)
 	}
+	if reused {
+		c.cache.remove(f)
+		f = nil
+	}
 	c.waiters.remove(key)
 	if f == nil {
 		f = c.cache.add(now, key)
@@ -244,8 +246,8 @@
 }
 
 // handleNotPlaced decides on a SYN for which there is no upstream. If all are at their limits, the
-// caller waits for its next retransmission, or is refused if it would not be served then either. Only a
-// SYN that no host has forwarded is refused, because the flow may be open otherwise.
+// caller waits for its next retransmission, or is refused if it would not be served then either. Only the
+// first SYN of a flow that is not known is refused: otherwise the flow may be open.
 func (c *Core) handleNotPlaced(now time.Duration, p *Packet, r *route, f *flow, ch choice) Effect {
 	if ch.reason == ReasonPaced && p.SYNRetransmits == 0 && f == nil {
 		if ch.state.overloaded(now, ch.class) {
--- a/internal/dsr/refuse_test.go
+++ b/internal/dsr/refuse_test.go
@@ -268,3 +268,18 @@
 	}
 	require.Positive(t, s.waiting)
 }
+
+// A duplicate of a first SYN that arrives after the handshake must not end the flow that is open.
+func TestDelayedDuplicateOfSYNIsNotRefused(t *testing.T) {
+	f := newFixture(t)
+	open := f.openFlow(streamPort)
+	s := f.core.services["orders"]
+	s.setWork(time.Second)
+	for range 60 {
+		f.caller(streamPort).sendSYN()
+	}
+	require.Equal(t, Reset, f.caller(streamPort).sendSYN().Action)
+	duplicate := &caller{f: f, id: open.id, port: open.port, seq: 100}
+	require.NotEqual(t, Reset, duplicate.sendSYN().Action)
+	require.Equal(t, Forward, open.request().Action)
+}
