--- a/internal/dsrpeer/peertable.go
+++ b/internal/dsrpeer/peertable.go
@@ -64,7 +64,7 @@
 }
 
 // addNamed adds the hosts named by another one, unless the table is full, and updates known ones. The
-// ages that come with them keep a dead host from being passed on for ever.
+// age of each keeps hosts from passing on a dead one indefinitely.
 func (t *peerTable) addNamed(now time.Duration, named []peerInfo) {
 	for _, n := range named {
 		a, err := netip.ParseAddrPort(n.Control)
--- a/internal/loadcontrol/doc.go
+++ b/internal/loadcontrol/doc.go
@@ -1,27 +1,27 @@
 // Package loadcontrol decides how requests are placed, wait and are refused when the upstreams of a
-// service have much to do. It has no clock, sockets or goroutines: each call is given the time and
+// service are under heavy load. It has no clock, sockets or goroutines: each call is given the time and
 // what the host has counted.
 //
-// A host sees only what callers send: not how busy an upstream is, nor what other hosts send it. With
-// many hosts before an upstream, each of them sees so little of it that a limit per host and upstream
-// learns nothing. So the hosts of an availability zone divide its upstreams among themselves, and each
-// knows what its own upstreams have to do.
+// A host sees only the packets of callers that pass through it. It sees neither how busy an upstream
+// is, nor what other hosts send to it. If many hosts share an upstream, each gets too few samples to
+// adapt a limit of its own. Therefore the hosts of an availability zone divide its upstreams among
+// themselves, and each host knows the load of the upstreams that it is responsible for.
 //
 //	load pattern                     rule                                        reason
 //	hosts outnumber upstreams        Position.Share: parts of an upstream that   limits of all hosts add up to
 //	                                 add up to one                               what the upstream has
-//	upstreams crash at once          Position.Share: an upstream is opened by    one host learns from one flow
-//	                                 one or two hosts                            what all would have to
+//	upstreams crash at once          Position.Share: one or two hosts open       one failed flow tells the host
+//	                                 flows to an upstream                        that would open the next one
 //	all upstreams turn slow          Limit: open requests by Little's law,       a queue at an upstream is work
 //	                                 down to one per slot                        that can't be moved any more
 //	burst within a zone              Window: spill to upstreams of other hosts,  their load is not known, so
 //	                                 as long as these answer in time             their latency decides
 //	callers return after an outage   Demand: they wait for their own repeat as   the excess is short
 //	                                 long as the slots can catch up
-//	more is asked than slots can do  Demand: refused at once                     who waits is not served
-//	both kinds of requests at once   Class: urgent requests get a larger limit,  an order outweighs a feed;
-//	                                 late ones a smaller one                     others can still be in time
-//	open flows ask again             their expected requests count as open       these can't be refused
+//	demand exceeds the slots         Demand: refused at once                     waiting callers aren't served
+//	urgent and other requests mix    Class: urgent requests get a larger limit,  urgent work goes first; requests
+//	                                 late ones a smaller one                     that aren't late can be in time
+//	requests on open flows           count as open before they are sent          a host can't refuse them
 //
 // Ways that were weighed, each against what a host can see:
 //
