--- a/internal/soak/network_test.go
+++ b/internal/soak/network_test.go
@@ -42,6 +42,19 @@
 	}
 }
 
+// An exit that the run did not cause is reported with its process and time, which other programs' logs
+// can be searched for.
+func TestUnexpectedExitIsDescribed(t *testing.T) {
+	dir := t.TempDir()
+	p, err := newProcess("host-7", filepath.Join(dir, "out"), "/bin/sh", nil, "-c", "kill -HUP $$")
+	require.NoError(t, err)
+	require.NoError(t, p.start())
+	<-p.exited()
+	require.Len(t, p.unexpectedExits, 1)
+	require.Regexp(t, `^host-7 \(process \d+\) exited unexpectedly at \d\d:\d\d:\d\d\.\d{3}, .*s after its start: signal: hangup$`, p.unexpectedExits[0])
+	p.output.Close()
+}
+
 // A host that can't bind its address is named with its output in the error of the run.
 func TestRunExplainsHostThatIsNotReady(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -31,6 +31,8 @@
 	cmd  *exec.Cmd
 	done chan struct{}
 	err  error
+	// started is when the current run began.
+	started time.Time
 	// exitExpected is set once the soak run has sent a terminating signal.
 	exitExpected bool
 	// peakBytes is the largest resident set size of all runs, read before each
@@ -58,7 +60,7 @@
 	if err := cmd.Start(); err != nil {
 		return eris.Wrapf(err, "%s can't be started", p.name)
 	}
-	p.cmd, p.done, p.exitExpected = cmd, make(chan struct{}), false
+	p.cmd, p.done, p.exitExpected, p.started = cmd, make(chan struct{}), false, time.Now()
 	go p.wait(cmd, p.done)
 	return nil
 }
@@ -69,7 +71,8 @@
 	defer p.mu.Unlock()
 	p.err = err
 	if !p.exitExpected {
-		p.unexpectedExits = append(p.unexpectedExits, p.name+" exited unexpectedly: "+cmd.ProcessState.String())
+		p.unexpectedExits = append(p.unexpectedExits, fmt.Sprintf("%s (process %d) exited unexpectedly at %s, %s after its start: %s",
+			p.name, cmd.Process.Pid, time.Now().Format(timeFormat), time.Since(p.started).Round(time.Millisecond), cmd.ProcessState))
 	}
 	close(done)
 }
