--- a/cmd/mimosad-dsr/restore_test.go
+++ b/cmd/mimosad-dsr/restore_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -161,6 +162,7 @@
 	u := f.addUpstream(0xa9, "orders-service")
 	flow := f.openAt(u)
 	f.restore(before)
+	returned := time.Now()
 	for _, h := range f.hosts {
 		h.kill()
 		h.start()
@@ -168,16 +170,17 @@
 	for _, h := range f.hosts {
 		h.awaitReady(http.StatusOK)
 	}
-	for n := range 18 {
-		f.store.Put("other/x", n)
-		if n%6 == 0 {
-			_, err := flow.Request(fmt.Sprint("after the start ", n))
-			require.NotErrorIs(t, err, dsrworld.ErrReset)
+	// Other writes keep the watches busy until the upstream registers again, 1.8 s after the store's return.
+	var writes sync.WaitGroup
+	defer writes.Wait()
+	writes.Go(func() {
+		for n := range 18 {
+			time.Sleep(time.Until(returned.Add(time.Duration(n) * 100 * time.Millisecond)))
+			f.store.Put("other/x", n)
 		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	u.Registration.Seq++
-	f.store.Put(u.Key(), u.Registration)
+		u.Registration.Seq++
+		f.store.Put(u.Key(), u.Registration)
+	})
 	require.Eventually(t, func() bool {
 		_, err := flow.Request("registered again")
 		require.NotErrorIs(t, err, dsrworld.ErrReset)
--- a/internal/accept/attempt.go
+++ b/internal/accept/attempt.go
@@ -143,7 +143,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = t.Store.CompareAndSwap(ctx, t.change.Name, entry.Modified, b, 0)
+	_, err = t.Store.CompareAndSwap(ctx, t.change.Name, entry.Position(), b, 0)
 	var failure *store.Error
 	if errors.As(err, &failure) && failure.Fault == store.FaultConflict {
 		return errConflict
--- a/internal/accept/claim.go
+++ b/internal/accept/claim.go
@@ -129,7 +129,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "claim of %s can't be encoded", address)
 	}
-	_, err = t.Store.CompareAndSwap(ctx, key, entry.Modified, value, 0)
+	_, err = t.Store.CompareAndSwap(ctx, key, entry.Position(), value, 0)
 	return mapConflict(err)
 }
 
@@ -166,7 +166,7 @@
 			return err
 		}
 	}
-	_, err = t.Store.CompareAndSwap(ctx, holder.Document, entry.Modified, value, 0)
+	_, err = t.Store.CompareAndSwap(ctx, holder.Document, entry.Position(), value, 0)
 	return mapConflict(err)
 }
 
@@ -187,7 +187,7 @@
 		if entry.Modified == 0 {
 			continue
 		}
-		_, _ = t.Store.CompareAndSwap(ctx, entry.Key, entry.Modified, nil, 0)
+		_, _ = t.Store.CompareAndSwap(ctx, entry.Key, entry.Position(), nil, 0)
 	}
 }
 
--- a/internal/accept/documents.go
+++ b/internal/accept/documents.go
@@ -30,7 +30,7 @@
 // archive copies the current document into the history before it is replaced. The
 // content of a revision never changes, so an existing copy is left as it is.
 func (t *acceptance) archive(ctx context.Context, current *config.Document, value []byte) error {
-	_, err := t.Store.CompareAndSwap(ctx, historyKey(t.change.Name, current.Revision), 0, value, 0)
+	_, err := t.Store.CompareAndSwap(ctx, historyKey(t.change.Name, current.Revision), store.Position{}, value, 0)
 	var failure *store.Error
 	if errors.As(err, &failure) && failure.Fault == store.FaultConflict {
 		return nil
@@ -57,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = t.Store.CompareAndSwap(ctx, key, entry.Modified, value, 0)
+	_, err = t.Store.CompareAndSwap(ctx, key, entry.Position(), value, 0)
 	return mapConflict(err)
 }
 
@@ -92,7 +92,7 @@
 // first error.
 func (t *acceptance) deleteOldest(ctx context.Context, entries []store.Entry) {
 	for len(entries) > t.HistoryLimit {
-		_, err := t.Store.CompareAndSwap(ctx, entries[0].Key, entries[0].Modified, nil, 0)
+		_, err := t.Store.CompareAndSwap(ctx, entries[0].Key, entries[0].Position(), nil, 0)
 		if err != nil {
 			return
 		}
--- a/internal/accept/ids.go
+++ b/internal/accept/ids.go
@@ -116,7 +116,7 @@
 			return idPool{}, &RefusedError{Name: t.change.Name, Reason: fmt.Sprintf("no ids are left: %d are needed above %d, the highest is %d", count, last, uint32(math.MaxUint32))}
 		}
 		value := binary.BigEndian.AppendUint64(nil, last+count)
-		_, err = t.Store.CompareAndSwap(ctx, IDCounterKey, entry.Modified, value, 0)
+		_, err = t.Store.CompareAndSwap(ctx, IDCounterKey, entry.Position(), value, 0)
 		var failure *store.Error
 		if errors.As(err, &failure) && failure.Fault == store.FaultConflict {
 			continue
--- a/internal/controlplane/plane_test.go
+++ b/internal/controlplane/plane_test.go
@@ -96,7 +96,7 @@
 	require.NoError(f.t, err)
 	held, err := f.mem.Get(context.Background(), doc.Name)
 	require.NoError(f.t, err)
-	_, err = f.mem.CompareAndSwap(context.Background(), doc.Name, held.Modified, raw, 0)
+	_, err = f.mem.CompareAndSwap(context.Background(), doc.Name, held.Position(), raw, 0)
 	require.NoError(f.t, err)
 }
 
--- a/internal/controlplane/platform.go
+++ b/internal/controlplane/platform.go
@@ -36,7 +36,7 @@
 	kind   spread.CallKind
 	page   store.Page
 	events []store.Event
-	next   store.Revision
+	next   store.Position
 	err    error
 }
 
@@ -66,7 +66,7 @@
 		r.page, r.err = p.settings.Store.List(ctx, call.Prefix, call.After, call.Limit)
 		return r
 	}
-	r.events, r.next, r.err = p.settings.Store.Watch(ctx, "", call.Revision, call.Wait)
+	r.events, r.next, r.err = p.settings.Store.Watch(ctx, "", call.Position, call.Wait)
 	return r
 }
 
--- a/internal/controlplane/status.go
+++ b/internal/controlplane/status.go
@@ -90,5 +90,5 @@
 		source = fmt.Sprintf("%x", uint64(r.Source))
 	}
 	write(r.Event, zap.String("document", r.Document), zap.Uint64("revision", r.Revision),
-		zap.Uint64("held", r.Held), zap.String("source", source), zap.String("why", r.Reason))
+		zap.Uint64("held", r.Held), zap.Uint64("era", r.Era), zap.String("source", source), zap.String("why", r.Reason))
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -1,6 +1,6 @@
 // Package directory defines the directory that hosts read from the platform's store: the
-// registrations of upstreams and the routes of the accepted configuration. Each carries the store
-// revision at which it was written.
+// registrations of upstreams and the routes of the accepted configuration. Each carries the position
+// of the store at which it was written: a revision in an era.
 package directory
 
 import (
@@ -18,18 +18,26 @@
 	ID uint64
 	// Incarnation is the start time of the process, in milliseconds since the Unix epoch.
 	Incarnation int64
-	Service     string
-	Zone        string
-	Addr        netip.AddrPort
+	// Sequence increases with each write of the registration by this incarnation.
+	Sequence int64
+	Service  string
+	Zone     string
+	Addr     netip.AddrPort
 	// Slots is the number of requests that the upstream runs concurrently.
 	Slots int
 	// Draining is set while the upstream finishes its open flows before it stops.
 	Draining bool
 	// SlowStart is the duration of slow start, counted from the write of the registration.
 	SlowStart time.Duration
+	Era       store.Era
 	Revision  store.Revision
 }
 
+// Position returns the position at which the registration was written.
+func (u *Upstream) Position() store.Position {
+	return store.Position{Era: u.Era, Revision: u.Revision}
+}
+
 // Target is a service that gets a share of the new flows of a route.
 type Target struct {
 	Service string
@@ -55,13 +63,20 @@
 
 // Configuration is an accepted version of the routes.
 type Configuration struct {
+	// Version is the operators' number of the configuration. Later ones have higher numbers.
 	Version  uint64
 	Routes   []Route
+	Era      store.Era
 	Revision store.Revision
 	// Skipped is the number of routes that could not be decoded.
 	Skipped int
 }
 
+// Position returns the position at which the configuration was written.
+func (c *Configuration) Position() store.Position {
+	return store.Position{Era: c.Era, Revision: c.Revision}
+}
+
 // Change is the result of a read from the store or of an update from another host.
 type Change struct {
 	// Full is set if the change holds the whole directory at its revision.
@@ -69,7 +84,9 @@
 	// RequestedAt is when the read behind a full change was requested, as the time since the start
 	// of the host.
 	RequestedAt time.Duration
-	// Revision is the store revision of the directory after the change.
+	// Era and Revision are the position of the store of the directory after the change. Upstreams
+	// of an earlier era are registrations that the store lost in a restore and that are kept.
+	Era      store.Era
 	Revision store.Revision
 	// FromPeer is set if the change comes from another host rather than from the store.
 	FromPeer bool
@@ -81,10 +98,21 @@
 	Configuration *Configuration
 }
 
+// Position returns the position of the store of the directory after the change.
+func (c *Change) Position() store.Position {
+	return store.Position{Era: c.Era, Revision: c.Revision}
+}
+
 // Removal reports that a key no longer has a usable registration.
 type Removal struct {
 	Key      string
+	Era      store.Era
 	Revision store.Revision
 	// Malformed is set if the registration exists but cannot be decoded.
 	Malformed bool
 }
+
+// Position returns the position at which the registration was removed or overwritten.
+func (r *Removal) Position() store.Position {
+	return store.Position{Era: r.Era, Revision: r.Revision}
+}
--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -13,6 +13,9 @@
 
 // Apply applies a change of the directory.
 func (c *Core) Apply(now time.Duration, ch *directory.Change) {
+	if ch.Era > c.era {
+		c.enterEra(now, ch)
+	}
 	if ch.Full {
 		c.removeMissing(now, ch)
 		c.fullReadAt = ch.RequestedAt
@@ -22,11 +25,14 @@
 	}
 	for i := range ch.Upstreams {
 		c.applyUpstream(now, &ch.Upstreams[i])
+		if ch.Upstreams[i].Era < ch.Era {
+			c.keepLost(now, ch.Upstreams[i].Key)
+		}
 	}
 	for _, r := range ch.Removed {
 		u := c.byKey[r.Key]
 		switch {
-		case u == nil || r.Revision <= u.Revision:
+		case u == nil || r.Position().Compare(u.Position()) <= 0:
 		case r.Malformed:
 			// The key may have been overwritten by another writer, so the upstream keeps its open
 			// flows.
@@ -44,6 +50,29 @@
 	}
 }
 
+// enterEra handles a restore of the store from a copy. What is missing in it may only be lost,
+// until upstreams have had the time to write their registrations again.
+func (c *Core) enterEra(now time.Duration, ch *directory.Change) {
+	if c.complete {
+		c.emit(Record{
+			Event: "store was restored from a copy", Era: uint64(ch.Era), Revision: uint64(ch.Revision), Version: c.version,
+			HoldsFor: lapseGrace, Considered: len(ch.Upstreams), Open: len(c.byKey),
+		})
+	}
+	c.era = ch.Era
+}
+
+// keepLost keeps an upstream whose registration the store lost in a restore. That says nothing
+// about the upstream, which remains in use until lapseGrace is over.
+func (c *Core) keepLost(now time.Duration, key string) {
+	u := c.byKey[key]
+	if u == nil || u.removeAt != 0 || u.Era >= c.era {
+		return
+	}
+	u.lost = true
+	c.letLapse(now, u, "lost by the store")
+}
+
 // removeMissing removes the registrations that a full read no longer has.
 func (c *Core) removeMissing(now time.Duration, ch *directory.Change) {
 	present := make(map[string]bool, len(ch.Upstreams))
@@ -54,7 +83,7 @@
 		present[r.Key] = true
 	}
 	for key, u := range c.byKey {
-		if !present[key] && u.Revision <= ch.Revision {
+		if !present[key] && u.Position().Compare(ch.Position()) <= 0 {
 			c.removeRegistration(now, u)
 		}
 	}
@@ -70,9 +99,17 @@
 		c.markGone(now, u, "left after draining")
 		return
 	}
+	c.letLapse(now, u, "")
+}
+
+// letLapse starts the grace period of an upstream without a registration.
+func (c *Core) letLapse(now time.Duration, u *upstream, cause string) {
 	u.removeAt = now + lapseGrace
 	c.lapsedList = append(c.lapsedList, u)
-	c.emit(Record{Event: "registration lapsed", Upstream: u.Key, Service: u.Service, Revision: uint64(u.Revision), Age: now - u.lastAnswerAt})
+	c.emit(Record{
+		Event: "registration lapsed", Upstream: u.Key, Service: u.Service, Detail: cause, Era: uint64(u.Era), Revision: uint64(u.Revision),
+		Age: now - u.lastAnswerAt, HoldsFor: u.removeAt - now,
+	})
 }
 
 // markGone takes an upstream out of use. Its token stays known for goneRetention.
@@ -90,7 +127,7 @@
 // old upstream.
 func (c *Core) applyUpstream(now time.Duration, d *directory.Upstream) {
 	u := c.byKey[d.Key]
-	if u != nil && d.Revision < u.Revision {
+	if u != nil && d.Position().Compare(u.Position()) < 0 {
 		return
 	}
 	if u != nil && u.Incarnation == d.Incarnation && u.Addr == d.Addr && u.Service == d.Service {
@@ -104,8 +141,12 @@
 		if u.unreadable || d.Draining != u.Draining || d.Slots != u.Slots || d.Zone != u.Zone {
 			u.service.sharesStale = true
 		}
+		wasLost := u.lost && d.Era == u.Era
 		u.Upstream = *d
-		u.removeAt, u.unreadable = 0, false
+		u.unreadable = false
+		if !wasLost {
+			u.removeAt, u.lost = 0, false
+		}
 		return
 	}
 	if u != nil {
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -6,6 +6,7 @@
 
 	"mimosashore.example/mimosashore/internal/directory"
 	"mimosashore.example/mimosashore/internal/loadcontrol"
+	"mimosashore.example/mimosashore/internal/store"
 )
 
 const (
@@ -49,11 +50,14 @@
 
 	configured bool
 	version    uint64
-	// configRevision is the store revision at which the configuration was written.
-	configRevision uint64
+	// configEra and configRevision are the position at which the configuration was written.
+	configRevision store.Revision
+	configEra      store.Era
 	configuredAt   time.Duration
 	routes         map[netip.AddrPort]*route
 
+	// era is the latest known era of the store.
+	era store.Era
 	// complete is set once a full read of the directory has been applied.
 	complete bool
 	// storeAnsweredAt is when the store last answered this host or a host that sends it updates.
@@ -143,12 +147,19 @@
 	}
 }
 
-// applyConfiguration activates a configuration if it is newer than the active one.
+// applyConfiguration activates a configuration if it is newer than the active one: by its revision
+// within an era of the store, by its version otherwise.
 func (c *Core) applyConfiguration(now time.Duration, n *directory.Configuration) {
-	if c.configured && uint64(n.Revision) <= c.configRevision {
-		return
+	if c.configured {
+		switch {
+		case n.Era == c.configEra && n.Revision <= c.configRevision, n.Era < c.configEra && n.Version <= c.version:
+			return
+		case n.Era > c.configEra && n.Version < c.version:
+			c.emit(Record{Event: "older configuration refused", Version: n.Version, Era: uint64(n.Era), Revision: uint64(n.Revision), Detail: "a restored store has it"})
+			return
+		}
 	}
-	c.configured, c.version, c.configRevision, c.configuredAt = true, n.Version, uint64(n.Revision), now
+	c.configured, c.version, c.configEra, c.configRevision, c.configuredAt = true, n.Version, n.Era, n.Revision, now
 	old := c.routes
 	c.routes = make(map[netip.AddrPort]*route, len(n.Routes))
 	for _, s := range c.services {
@@ -162,7 +173,7 @@
 		}
 		c.routes[r.Addr] = r
 	}
-	c.emit(Record{Event: "configuration in force", Version: n.Version, Revision: uint64(n.Revision), Considered: len(n.Routes), Suspect: n.Skipped, Open: len(old), Age: now - c.storeAnsweredAt})
+	c.emit(Record{Event: "configuration in force", Version: n.Version, Era: uint64(n.Era), Revision: uint64(n.Revision), Considered: len(n.Routes), Suspect: n.Skipped, Open: len(old), Age: now - c.storeAnsweredAt})
 }
 
 // HandlePacket decides on one packet of a caller. The returned header is valid until the next call.
--- a/internal/dsr/record.go
+++ b/internal/dsr/record.go
@@ -18,9 +18,9 @@
 	// Detail is the reason, or what the event concerns, such as the other upstream of a shared token
 	// or the name of an availability zone.
 	Detail string
-	// Revision is the store revision that the decision is based on, Version the version of the
+	// Era and Revision are the position of the store that the decision is based on, Version the version of the
 	// configuration.
-	Revision, Version uint64
+	Era, Revision, Version uint64
 	// Age is the age of the information behind the decision, HoldsFor how long the new state lasts.
 	Age, HoldsFor time.Duration
 	// Considered is the number of usable upstreams, Suspect the number of those that are suspect,
--- a/internal/dsr/state.go
+++ b/internal/dsr/state.go
@@ -10,6 +10,7 @@
 type State struct {
 	Ready                 bool     `json:"ready"`
 	Version               uint64   `json:"configuration_version"`
+	ConfigurationEra      uint64   `json:"configuration_era"`
 	ConfigurationRevision uint64   `json:"configuration_revision"`
 	Routes                int      `json:"routes"`
 	Flows                 int      `json:"flows"`
@@ -47,6 +48,7 @@
 	Zone     string `json:"zone"`
 	To       string `json:"to"`
 	Token    Token  `json:"token"`
+	Era      uint64 `json:"era"`
 	Revision uint64 `json:"revision"`
 	// Status follows from the registration, Suspicion from the packets that the host has seen.
 	Status    string `json:"status"`
@@ -65,7 +67,7 @@
 func (c *Core) State(now time.Duration) *State {
 	c.advance(now)
 	s := &State{
-		Ready: c.Ready(), Version: c.version, ConfigurationRevision: c.configRevision, Routes: len(c.routes), Flows: len(c.cache.flows),
+		Ready: c.Ready(), Version: c.version, ConfigurationEra: uint64(c.configEra), ConfigurationRevision: uint64(c.configRevision), Routes: len(c.routes), Flows: len(c.cache.flows),
 		StoreDown: c.storeDown, StoreAnswerAgeMs: (now - c.storeAnsweredAt).Milliseconds(), OwnLinkSuspected: c.linkMonitor.suspected(now),
 		SuspectZones: []string{}, Services: []ServiceState{}, Upstreams: make([]UpstreamState, 0, len(c.byKey)+len(c.goneList)),
 	}
@@ -93,14 +95,14 @@
 		s.Upstreams = append(s.Upstreams, u.state(now))
 	}
 	slices.SortFunc(s.Upstreams, func(a, b UpstreamState) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Key, b.Key), cmp.Compare(a.Revision, b.Revision))
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Key, b.Key), cmp.Compare(a.Era, b.Era), cmp.Compare(a.Revision, b.Revision))
 	})
 	return s
 }
 
 func (u *upstream) state(now time.Duration) UpstreamState {
 	s := UpstreamState{
-		Key: u.Key, Service: u.Service, Zone: u.Zone, To: u.Addr.String(), Token: u.token, Revision: uint64(u.Revision),
+		Key: u.Key, Service: u.Service, Zone: u.Zone, To: u.Addr.String(), Token: u.token, Era: uint64(u.Era), Revision: uint64(u.Revision),
 		Status: u.status(), Suspicion: u.suspicion(now), Opening: u.opening, Busy: u.busy, Flows: u.flows,
 		Share: u.share, LatencyMs: u.latency * 1000, LastAnswerAgeMs: -1,
 	}
@@ -114,6 +116,8 @@
 	switch {
 	case u.gone:
 		return "gone"
+	case u.lost:
+		return "lost by the store"
 	case u.removeAt != 0:
 		return "lapsed"
 	case u.unreadable:
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -38,7 +38,9 @@
 	// unreadable is set while the registration cannot be decoded.
 	unreadable bool
 	// removeAt is when an upstream with a lapsed registration becomes gone; zero is never.
-	removeAt       time.Duration
+	removeAt time.Duration
+	// lost is set while the registration is missing only because the store was restored.
+	lost           bool
 	gone           bool
 	goneAt         time.Duration
 	slowStartUntil time.Duration
@@ -123,7 +125,7 @@
 
 // suspect reports whether the upstream may not answer and is to be avoided.
 func (u *upstream) suspect(now time.Duration) bool {
-	if u.removeAt != 0 || now < u.backoff.until || now < u.zone.backoff.until {
+	if u.removeAt != 0 && !u.lost || now < u.backoff.until || now < u.zone.backoff.until {
 		return true
 	}
 	// After the backoff, one flow at a time tries the upstream or zone again.
--- a/internal/dsrhost/decide.go
+++ b/internal/dsrhost/decide.go
@@ -68,10 +68,7 @@
 	head, e := d.core.HandlePacket(d.host.elapsed(), body)
 	d.host.stats.countPacket(e)
 	if e.Resync {
-		select {
-		case d.host.resync <- struct{}{}:
-		default:
-		}
+		d.host.requestResync()
 	}
 	switch e.Action {
 	case dsr.Forward:
@@ -187,6 +184,7 @@
 	addr("to", r.To)
 	number("token", uint64(r.Token))
 	text("why", r.Detail)
+	number("era", r.Era)
 	number("revision", r.Revision)
 	number("version", r.Version)
 	number("considered", uint64(r.Considered))
--- a/internal/dsrhost/feed.go
+++ b/internal/dsrhost/feed.go
@@ -36,6 +36,9 @@
 	// startupStoreWait is how long a host without a directory waits for the store before it also
 	// turns to other hosts. The store normally answers the two calls of a full read in 8 ms.
 	startupStoreWait = 250 * time.Millisecond
+	// startupPeerWait is how long a host that starts waits for other hosts to tell what the
+	// store lost, before it serves what it read: three exchanges between the most distant zones.
+	startupPeerWait = 150 * time.Millisecond
 )
 
 // feedKind is the kind of an event of the feed.
@@ -82,12 +85,15 @@
 	// there is no exchange with other hosts. resume is signalled when delegation ends.
 	delegated func() bool
 	resume    chan struct{}
+	// greeted is closed when other hosts had the chance to tell what the store lost; nil if
+	// there is no exchange with other hosts.
+	greeted <-chan struct{}
 	// fullReadPending is set when a full read is due.
 	fullReadPending bool
 }
 
 // run reads the store until the context ends. After a failure it resumes from the
-// replica's revision, as long as the store has not compacted that history.
+// replica's position, as long as the store still has that history.
 func (f *feed) run(ctx context.Context) {
 	wait := retryMin
 	for ctx.Err() == nil {
@@ -96,9 +102,8 @@
 			wait = retryMin
 			continue
 		}
-		var fault *store.Error
-		if errors.As(err, &fault) && fault.Fault == store.FaultCompacted {
-			f.log.Warn("history was compacted, reading the full directory", zap.Error(err))
+		if reason, ok := fullReadReason(err); ok {
+			f.log.Warn(reason+", reading the full directory", positionFields(f.replica.Position(), zap.Error(err))...)
 			f.fullReadPending = true
 			sleep(ctx, retryMin)
 			continue
@@ -109,6 +114,28 @@
 	}
 }
 
+// fullReadReason reports whether an error means that the watch can't go on from the
+// replica's position, and why.
+func fullReadReason(err error) (string, bool) {
+	var failure *store.Error
+	if !errors.As(err, &failure) {
+		return "", false
+	}
+	switch failure.Fault {
+	case store.FaultCompacted:
+		return "history was compacted", true
+	case store.FaultRestored:
+		return "store was restored from a copy", true
+	default:
+		return "", false
+	}
+}
+
+// positionFields returns log fields for a position of the store, before other ones.
+func positionFields(p store.Position, others ...zap.Field) []zap.Field {
+	return append([]zap.Field{zap.Uint64("era", uint64(p.Era)), zap.Uint64("revision", uint64(p.Revision))}, others...)
+}
+
 // read makes a full read if one is due, or else watches once.
 func (f *feed) read(ctx context.Context) error {
 	f.waitWhileDelegated(ctx)
@@ -117,7 +144,7 @@
 		f.fullReadPending = true
 	default:
 	}
-	if f.fullReadPending || f.replica.AtRevision() == 0 {
+	if f.fullReadPending || f.replica.Position().IsZero() {
 		if err := f.list(ctx); err != nil {
 			return err
 		}
@@ -167,7 +194,7 @@
 // none after startupStoreWait, or the last call failed and the store has not answered
 // for longer than peerFallbackDelay.
 func (f *feed) needsPeers() bool {
-	if f.replica.AtRevision() == 0 && f.elapsed() > startupStoreWait {
+	if f.replica.Position().IsZero() && f.elapsed() > startupStoreWait {
 		return true
 	}
 	if !f.failing.Load() {
@@ -206,8 +233,9 @@
 	f.send(ctx, feedEvent{kind: feedFailed, reason: err.Error()})
 }
 
-// list makes a full read. Its revision is that of the first page, so that the next
-// watch repeats the writes made during the listing.
+// list makes a full read. Its position is that of the first page, so that the next
+// watch repeats the writes made during the listing. It fails with FaultRestored if the
+// store was restored meanwhile.
 func (f *feed) list(ctx context.Context) error {
 	u := replica.Update{Full: true}
 	started := f.elapsed()
@@ -218,7 +246,10 @@
 			return err
 		}
 		if u.AtRevision == 0 {
-			u.AtRevision = page.At
+			u.Era, u.AtRevision = page.Era, page.At
+		}
+		if page.Era != u.Era {
+			return &store.Error{Op: opList, Fault: store.FaultRestored}
 		}
 		for _, e := range page.Entries {
 			u.Events = append(u.Events, store.Event{Entry: e})
@@ -231,36 +262,75 @@
 	if err != nil {
 		return err
 	}
+	if entry.Era != u.Era {
+		return &store.Error{Op: opGet, Key: entry.Key, Fault: store.FaultRestored}
+	}
 	if entry.Modified != 0 {
 		u.Events = append(u.Events, store.Event{Entry: entry})
 	}
 	f.recordAnswer()
-	f.replica.Apply(u)
-	ch := f.translator.change(u)
+	f.applyFullRead(ctx, u, started)
+	return nil
+}
+
+// applyFullRead applies a full read and passes the directory to the core. That is the
+// replica's, which may be newer than the read and has what the store lost.
+func (f *feed) applyFullRead(ctx context.Context, u replica.Update, started time.Duration) {
+	held := f.replica.Position()
+	fresh, isNew := f.replica.Apply(u)
+	if held.IsZero() && f.greeted != nil {
+		f.awaitGreeting(ctx)
+		isNew = false
+	}
+	if !isNew {
+		fresh = f.replica.Snapshot()
+	}
+	ch := f.translator.change(fresh)
+	f.log.Info("directory read", positionFields(u.Position(), zap.Bool("new", isNew), zap.Uint64("held_era", uint64(held.Era)),
+		zap.Uint64("held_revision", uint64(held.Revision)), zap.Int("kept", f.replica.Kept()), zap.Int("upstreams", len(ch.Upstreams)), zap.Int("unusable", len(ch.Removed)))...)
 	ch.RequestedAt = started
-	f.log.Info("directory read", zap.Uint64("revision", uint64(u.AtRevision)), zap.Int("upstreams", len(ch.Upstreams)), zap.Int("unusable", len(ch.Removed)))
 	f.send(ctx, feedEvent{kind: feedChange, change: ch})
-	return nil
+}
+
+// awaitGreeting waits until greeted is closed, at most startupPeerWait.
+func (f *feed) awaitGreeting(ctx context.Context) {
+	timer := time.NewTimer(startupPeerWait)
+	defer timer.Stop()
+	select {
+	case <-f.greeted:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
 
 // watch makes one call that waits for writes, then pauses for the rest of
 // minWatchInterval to batch writes that come in quick succession.
 func (f *feed) watch(ctx context.Context) error {
 	started := f.elapsed()
-	at := f.replica.AtRevision()
+	at := f.replica.Position()
 	events, next, err := f.store.Watch(ctx, "", at, watchWait)
 	f.stats.countStoreCall(opWatch, err)
 	if err != nil {
 		return err
 	}
 	f.recordAnswer()
-	if fresh, ok := f.replica.Apply(replica.Update{AtRevision: max(at, next), Events: f.translator.filterEvents(events)}); ok && len(fresh.Events) > 0 {
+	u := replica.Update{Era: next.Era, AtRevision: max(at.Revision, next.Revision), Events: f.translator.filterEvents(events)}
+	if fresh, ok := f.replica.Apply(u); ok && len(fresh.Events) > 0 {
 		f.send(ctx, feedEvent{kind: feedChange, change: f.translator.change(fresh)})
 	} else {
 		f.send(ctx, feedEvent{kind: feedAnswered})
 	}
+	f.dropExpired(ctx)
 	if took := f.elapsed() - started; took < f.minWatchInterval {
 		sleep(ctx, f.minWatchInterval-took)
 	}
 	return nil
 }
+
+// dropExpired drops registrations that the store lost and that were not written again.
+func (f *feed) dropExpired(ctx context.Context) {
+	if u, ok := f.replica.DropExpired(); ok {
+		f.log.Info("registrations lost by the store are dropped", positionFields(u.Position(), zap.Int("items", len(u.Events)))...)
+		f.send(ctx, feedEvent{kind: feedChange, change: f.translator.change(u)})
+	}
+}
--- a/internal/dsrhost/feed_test.go
+++ b/internal/dsrhost/feed_test.go
@@ -27,7 +27,7 @@
 	pages   []store.Page
 	config  store.Entry
 	watches []watchAnswer
-	after   []store.Revision
+	after   []store.Position
 	lists   int
 }
 
@@ -35,6 +35,7 @@
 type watchAnswer struct {
 	events []store.Event
 	at     store.Revision
+	era    store.Era
 	err    error
 }
 
@@ -54,25 +55,25 @@
 	return store.Page{}, nil
 }
 
-func (s *scriptedStore) Watch(ctx context.Context, _ string, after store.Revision, _ time.Duration) ([]store.Event, store.Revision, error) {
+func (s *scriptedStore) Watch(ctx context.Context, _ string, after store.Position, _ time.Duration) ([]store.Event, store.Position, error) {
 	s.mu.Lock()
 	s.after = append(s.after, after)
 	if len(s.watches) == 0 {
 		s.mu.Unlock()
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, after, ctx.Err()
 	}
 	a := s.watches[0]
 	s.watches = s.watches[1:]
 	s.mu.Unlock()
-	return a.events, a.at, a.err
+	return a.events, store.Position{Era: a.era, Revision: a.at}, a.err
 }
 
 // calls returns the revision that the first watch started from and the number of full reads.
 func (s *scriptedStore) calls() (first store.Revision, lists int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.after[0], s.lists
+	return s.after[0].Revision, s.lists
 }
 
 // testLayout decodes a registration as the name of its service and a configuration as its version.
@@ -100,9 +101,10 @@
 	log := logging.ForComponent(zap.NewNop(), "directory")
 	st := newStats(nil)
 	began := time.Now()
+	elapsed := func() time.Duration { return time.Since(began) }
+	tr := &translator{layout: testLayout, log: log, stats: st}
 	f := &feed{
-		store: s, translator: &translator{layout: testLayout, log: log, stats: st}, replica: replica.New(), log: log,
-		elapsed: func() time.Duration { return time.Since(began) }, out: events, resync: make(chan struct{}), stats: st,
+		store: s, translator: tr, replica: replica.New(tr, elapsed), log: log, elapsed: elapsed, out: events, resync: make(chan struct{}), stats: st,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -194,7 +196,8 @@
 
 func TestFeedNeedsPeersOnlyAfterFallbackDelay(t *testing.T) {
 	now := time.Second
-	f := &feed{replica: replica.New(), elapsed: func() time.Duration { return now }}
+	elapsed := func() time.Duration { return now }
+	f := &feed{replica: replica.New(&translator{layout: testLayout}, elapsed), elapsed: elapsed}
 	require.True(t, f.needsPeers(), "no directory after startupStoreWait")
 	f.replica.Apply(replica.Update{Full: true, AtRevision: 1})
 	f.recordAnswer()
--- a/internal/dsrhost/host.go
+++ b/internal/dsrhost/host.go
@@ -84,11 +84,11 @@
 		packets:       ring.New[packet](packetRingSize),
 		events:        make(chan feedEvent, feedQueueSize),
 		resync:        make(chan struct{}, 1),
-		replica:       replica.New(),
 		stateRequests: make(chan chan *dsr.State),
 	}
 	h.stats = newStats(d.LogOutput)
 	h.translator = &translator{layout: d.Layout, log: logging.ForComponent(d.Logger, "directory"), stats: h.stats}
+	h.replica = replica.New(h.translator, h.elapsed)
 	h.feed = &feed{
 		store: d.Store, translator: h.translator, replica: h.replica, log: h.translator.log,
 		minWatchInterval: d.Settings.ApplyWithin / watchIntervalDivisor, elapsed: h.elapsed, out: h.events, resync: h.resync, resume: make(chan struct{}, 1), stats: h.stats,
@@ -117,12 +117,12 @@
 		h.peer, err = dsrpeer.Listen(dsrpeer.Settings{
 			Control: s.Control, Zone: s.Zone, Contacts: s.Contacts, Replica: h.replica,
 			Delegate: s.ApplyWithin >= minDelegateApplyTime, NeedsPeers: h.feed.needsPeers, StoreAge: h.feed.storeAge,
-			StoreFailing: h.feed.failing.Load, ResumeReading: h.feed.resumeReading, ApplyUpdate: h.applyFromPeer, Log: logging.ForComponent(h.deps.Logger, "peer"), Now: h.elapsed,
+			StoreFailing: h.feed.failing.Load, ResumeReading: h.feed.resumeReading, Resync: h.requestResync, ApplyUpdate: h.applyFromPeer, Log: logging.ForComponent(h.deps.Logger, "peer"), Now: h.elapsed,
 		})
 		if err != nil {
 			return err
 		}
-		h.feed.delegated = h.peer.Delegated
+		h.feed.delegated, h.feed.greeted = h.peer.Delegated, h.peer.Greeted()
 		h.stats.registerPeer(h.peer)
 	}
 	h.sockets, err = netio.Listen(ctx, s.Data, netio.Options{Readers: 1, Batch: 1})
@@ -159,6 +159,15 @@
 		e.change.FromPeer = true
 	}
 	h.feed.send(ctx, e)
+	h.feed.dropExpired(ctx)
+}
+
+// requestResync requests a full read of the store.
+func (h *Host) requestResync() {
+	select {
+	case h.resync <- struct{}{}:
+	default:
+	}
 }
 
 // elapsed returns the time since the start of the host.
--- a/internal/dsrhost/state.go
+++ b/internal/dsrhost/state.go
@@ -28,8 +28,11 @@
 	Name    string `json:"name"`
 	Zone    string `json:"zone"`
 	Leaving bool   `json:"leaving"`
-	// Revision is the store revision up to which the host has all writes.
+	// Era and Revision are the position of the store up to which the host has all writes. Kept is
+	// the number of entries that the store lost in a restore and that the host still uses.
+	Era      uint64 `json:"era"`
 	Revision uint64 `json:"revision"`
+	Kept     int    `json:"kept"`
 	// Peers is the number of known hosts. Reader is the control address of the host
 	// that reads the store for this one, or empty.
 	Peers  int    `json:"peers"`
@@ -45,7 +48,11 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	s := &State{Name: h.settings.Name, Zone: h.settings.Zone, Leaving: h.ready.leaving.Load(), Revision: uint64(h.replica.AtRevision())}
+	at := h.replica.Position()
+	s := &State{
+		Name: h.settings.Name, Zone: h.settings.Zone, Leaving: h.ready.leaving.Load(),
+		Era: uint64(at.Era), Revision: uint64(at.Revision), Kept: h.replica.Kept(),
+	}
 	if h.peer != nil {
 		s.Peers = h.peer.KnownPeers()
 		if reader, ok := h.peer.StoreReader(); ok {
@@ -87,9 +94,9 @@
 func (s *State) WriteText(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(t, "host %s in %s: ready %t, leaving %t\n", s.Name, s.Zone, s.Ready, s.Leaving)
-	fmt.Fprintf(t, "configuration version %d of revision %d with %d routes; %d flows\n", s.Version, s.ConfigurationRevision, s.Routes, s.Flows)
-	fmt.Fprintf(t, "store: revision %d, heard %d ms ago, down %t, read by %s; %d hosts known\n",
-		s.Revision, s.StoreAnswerAgeMs, s.StoreDown, cmp.Or(s.Reader, "this host"), s.Peers)
+	fmt.Fprintf(t, "configuration version %d of era %d, revision %d with %d routes; %d flows\n", s.Version, s.ConfigurationEra, s.ConfigurationRevision, s.Routes, s.Flows)
+	fmt.Fprintf(t, "store: era %d, revision %d, %d lost entries kept, heard %d ms ago, down %t, read by %s; %d hosts known\n",
+		s.Era, s.Revision, s.Kept, s.StoreAnswerAgeMs, s.StoreDown, cmp.Or(s.Reader, "this host"), s.Peers)
 	fmt.Fprintf(t, "zones in doubt %v, own link suspected %t; place %d of %d in the zone\n\n", s.SuspectZones, s.OwnLinkSuspected, s.ZoneIndex, s.ZoneHosts)
 	fmt.Fprintln(t, "SERVICE\tOWN SLOTS\tWORK MS\tDEMAND\tWAITING\tSPILLED\tSPILL LIMIT")
 	for i := range s.Services {
--- a/internal/dsrhost/stats.go
+++ b/internal/dsrhost/stats.go
@@ -58,7 +58,9 @@
 // registerFeed registers the gauges of the feed.
 func (s *stats) registerFeed(f *feed) {
 	s.set.NewGauge("mimosashore_dsr_store_heard_seconds", func() float64 { return f.storeAge().Seconds() })
-	s.set.NewGauge("mimosashore_dsr_directory_revision", func() float64 { return float64(f.replica.AtRevision()) })
+	s.set.NewGauge("mimosashore_dsr_directory_era", func() float64 { return float64(f.replica.Position().Era) })
+	s.set.NewGauge("mimosashore_dsr_directory_kept", func() float64 { return float64(f.replica.Kept()) })
+	s.set.NewGauge("mimosashore_dsr_directory_revision", func() float64 { return float64(f.replica.Position().Revision) })
 }
 
 // registerPeer registers the gauges of the exchange with other hosts.
--- a/internal/dsrhost/translate.go
+++ b/internal/dsrhost/translate.go
@@ -34,14 +34,14 @@
 // change converts an update to a change of the directory. Malformed items are
 // logged, counted and left out.
 func (t *translator) change(u replica.Update) *directory.Change {
-	ch := &directory.Change{Full: u.Full, Revision: u.AtRevision}
+	ch := &directory.Change{Full: u.Full, Era: u.Era, Revision: u.AtRevision}
 	for i := range u.Events {
 		e := &u.Events[i]
 		switch {
 		case e.Entry.Key == t.layout.ConfigurationKey:
 			t.addConfiguration(ch, e)
 		case e.Deleted:
-			ch.Removed = append(ch.Removed, directory.Removal{Key: e.Entry.Key, Revision: e.Entry.Modified})
+			ch.Removed = append(ch.Removed, directory.Removal{Key: e.Entry.Key, Era: e.Entry.Era, Revision: e.Entry.Modified})
 		default:
 			t.addRegistration(ch, &e.Entry)
 		}
@@ -61,6 +61,7 @@
 		t.log.Warn("configuration has a part that can't be read", zap.Uint64("revision", uint64(e.Entry.Modified)), zap.Error(p))
 	}
 	if c != nil {
+		c.Era = e.Entry.Era
 		ch.Configuration = c
 	}
 }
@@ -70,8 +71,50 @@
 	if err != nil {
 		t.stats.malformedItems.Inc()
 		t.log.Warn("registration is not used", zap.Uint64("revision", uint64(e.Modified)), zap.Error(err))
-		ch.Removed = append(ch.Removed, directory.Removal{Key: e.Key, Revision: e.Modified, Malformed: true})
+		ch.Removed = append(ch.Removed, directory.Removal{Key: e.Key, Era: e.Era, Revision: e.Modified, Malformed: true})
 		return
 	}
+	u.Era = e.Era
 	ch.Upstreams = append(ch.Upstreams, u)
 }
+
+// Resolve implements replica.Policy. Configurations are ordered by version, registrations
+// by incarnation and by the sequence within it. An item that can't be decoded is older
+// than one that can.
+func (t *translator) Resolve(earlier, later store.Entry) store.Entry {
+	if earlier.Key == t.layout.ConfigurationKey {
+		before, _ := t.layout.DecodeConfiguration(earlier.Value, earlier.Modified)
+		after, _ := t.layout.DecodeConfiguration(later.Value, later.Modified)
+		if before == nil || after != nil && after.Version >= before.Version {
+			return later
+		}
+		t.log.Warn("configuration from before the restore of the store stays in force", zap.Uint64("version", before.Version),
+			zap.Uint64("store_version", versionOf(after)), zap.Uint64("era", uint64(later.Era)), zap.Uint64("revision", uint64(later.Modified)))
+		return earlier
+	}
+	before, errBefore := t.layout.DecodeUpstream(earlier.Key, earlier.Value, earlier.Modified)
+	after, errAfter := t.layout.DecodeUpstream(later.Key, later.Value, later.Modified)
+	switch {
+	case errBefore != nil:
+		return later
+	case errAfter != nil || after.Incarnation < before.Incarnation:
+		return earlier
+	case after.Incarnation > before.Incarnation:
+		return later
+	case after.Sequence < before.Sequence:
+		// The store has an older entry of the same process, which is registered all the same.
+		later.Value = earlier.Value
+	}
+	return later
+}
+
+// Expires implements replica.Policy. Upstreams write lost registrations again by themselves;
+// a lost configuration stays in force until the operators write a newer one.
+func (t *translator) Expires(key string) bool { return key != t.layout.ConfigurationKey }
+
+func versionOf(c *directory.Configuration) uint64 {
+	if c == nil {
+		return 0
+	}
+	return c.Version
+}
--- a/internal/dsrpeer/follow.go
+++ b/internal/dsrpeer/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"mimosashore.example/mimosashore/internal/replica"
@@ -15,6 +16,8 @@
 // discover each other. Hosts that start at the same time discover each other within
 // the first few hellos.
 func (p *Peer) SendHellos(ctx context.Context) {
+	p.helloSeveral(ctx)
+	close(p.greeted)
 	interval := helloMinInterval
 	for ctx.Err() == nil {
 		if !p.helloAny(ctx) {
@@ -57,7 +60,7 @@
 			continue
 		}
 		p.addPeers(host, n)
-		if !readsStore(n) || len(n.Update) == 0 {
+		if !readsStore(n) || len(n.Update) == 0 || p.isBehind(n) {
 			ws.CloseNow()
 			continue
 		}
@@ -91,11 +94,54 @@
 		}
 		ws.CloseNow()
 		p.addPeers(host, n)
+		p.fetchLost(ctx, host, n)
 		return true
 	}
 	return false
 }
 
+// helloSeveral sends a hello to a few hosts, so that a host that starts learns what any
+// of them keeps of the entries that the store lost.
+func (p *Peer) helloSeveral(ctx context.Context) {
+	for _, host := range firstHosts(p.peers.helloOrder(p.settings.Now()), startHellos) {
+		n, ws, err := p.dial(ctx, host, false)
+		if err != nil {
+			continue
+		}
+		ws.CloseNow()
+		p.addPeers(host, n)
+		p.fetchLost(ctx, host, n)
+	}
+}
+
+func firstHosts(hosts []netip.AddrPort, count int) []netip.AddrPort {
+	return hosts[:min(len(hosts), count)]
+}
+
+// fetchLost fetches the directory of a host that, by its message, keeps entries that the
+// store lost and this host lacks. It requests a full read of the store if the other host
+// has seen a later restore.
+func (p *Peer) fetchLost(ctx context.Context, host netip.AddrPort, n *syncMessage) {
+	own := p.settings.Replica.Position()
+	if !own.IsZero() && n.Era > uint64(own.Era) {
+		p.settings.Resync()
+	}
+	if n.Kept <= p.settings.Replica.Kept() {
+		return
+	}
+	n, ws, err := p.dial(ctx, host, true)
+	if err != nil {
+		return
+	}
+	defer ws.CloseNow()
+	if len(n.Update) == 0 {
+		return
+	}
+	err = p.applyMessage(ctx, n)
+	p.settings.Log.Info("read what the store lost from another host", zap.Stringer("host", host), zap.Uint64("era", n.Era),
+		zap.Int("kept", n.Kept), zap.Error(err))
+}
+
 // addPeers adds the hosts named in a message, and its sender if the message came
 // from the sender's control address.
 func (p *Peer) addPeers(from netip.AddrPort, n *syncMessage) {
@@ -119,7 +165,7 @@
 			continue
 		}
 		p.addPeers(host, n)
-		if len(n.Update) == 0 {
+		if len(n.Update) == 0 || p.isBehind(n) {
 			ws.CloseNow()
 			continue
 		}
@@ -131,19 +177,14 @@
 	return false
 }
 
-// follow applies updates while the condition holds for each message and the
-// connection lasts.
+// follow applies updates while the condition holds for each message, the connection
+// lasts and the other host is not in an earlier era of the store.
 func (p *Peer) follow(ctx context.Context, ws *websocket.Conn, n *syncMessage, while func(*syncMessage) bool) error {
 	defer ws.CloseNow()
 	for {
-		var u replica.Update
-		if len(n.Update) > 0 {
-			var err error
-			if u, err = decodeUpdate(n.Update); err != nil {
-				return err
-			}
+		if err := p.applyMessage(ctx, n); err != nil {
+			return err
 		}
-		p.settings.ApplyUpdate(ctx, u, time.Duration(n.StoreAgeMs)*time.Millisecond)
 		p.Stats.Followed.Add(1)
 		if !while(n) {
 			return nil
@@ -157,3 +198,33 @@
 		}
 	}
 }
+
+// isBehind reports whether the sender of a message is in an earlier era of the store than
+// this host: it has missed a restore.
+func (p *Peer) isBehind(n *syncMessage) bool {
+	return n.Era < uint64(p.settings.Replica.Position().Era)
+}
+
+// applyMessage applies the update of a message, if any. It returns an error if the sender
+// is behind: the time of its last answer of the store then says nothing about the
+// directory of this host.
+func (p *Peer) applyMessage(ctx context.Context, n *syncMessage) error {
+	var u replica.Update
+	if len(n.Update) > 0 {
+		var err error
+		if u, err = decodeUpdate(n.Update); err != nil {
+			return err
+		}
+		u.KeptFor = time.Duration(n.KeptForMs) * time.Millisecond
+	}
+	storeAge := time.Duration(n.StoreAgeMs) * time.Millisecond
+	behind := p.isBehind(n)
+	if behind {
+		storeAge = -1
+	}
+	p.settings.ApplyUpdate(ctx, u, storeAge)
+	if behind {
+		return eris.Errorf("it is in era %d of the store, this host in a later one", n.Era)
+	}
+	return nil
+}
--- a/internal/dsrpeer/message.go
+++ b/internal/dsrpeer/message.go
@@ -64,6 +64,12 @@
 	StoreAgeMs int64
 	// ReadsStore is set while the sender reads the store itself and its last call succeeded.
 	ReadsStore bool
+	// Era is the era of the store up to which the sender has the directory, Kept the number of
+	// entries that the store lost and that the sender keeps, and KeptForMs how long it still
+	// keeps lost registrations, in milliseconds.
+	Era       uint64
+	Kept      int
+	KeptForMs int64
 	// Update is an encoded update; empty in a heartbeat.
 	Update []byte
 }
@@ -74,6 +80,7 @@
 type update struct {
 	_          struct{} `cbor:",toarray"`
 	Full       bool
+	Era        uint64
 	AtRevision uint64
 	Items      []item
 }
@@ -83,6 +90,7 @@
 	_        struct{} `cbor:",toarray"`
 	Key      string
 	Value    []byte
+	Era      uint64
 	Revision uint64
 	Removed  bool
 }
@@ -90,10 +98,10 @@
 var messageCodec = codec.New(codec.Limits{ArrayElements: maxItems, MapPairs: maxMapSize, Nesting: maxNesting})
 
 func encodeUpdate(u replica.Update) ([]byte, error) {
-	m := update{Full: u.Full, AtRevision: uint64(u.AtRevision)}
+	m := update{Full: u.Full, Era: uint64(u.Era), AtRevision: uint64(u.AtRevision)}
 	for i := range u.Events {
 		e := &u.Events[i]
-		m.Items = append(m.Items, item{Key: e.Entry.Key, Value: e.Entry.Value, Revision: uint64(e.Entry.Modified), Removed: e.Deleted})
+		m.Items = append(m.Items, item{Key: e.Entry.Key, Value: e.Entry.Value, Era: uint64(e.Entry.Era), Revision: uint64(e.Entry.Modified), Removed: e.Deleted})
 	}
 	b, err := messageCodec.Marshal(&m)
 	if err != nil {
@@ -126,14 +134,14 @@
 	if err := messageCodec.Unmarshal(plain, &m); err != nil {
 		return none, eris.Wrap(err, "update can't be decoded")
 	}
-	u := replica.Update{Full: m.Full, AtRevision: store.Revision(m.AtRevision)}
+	u := replica.Update{Full: m.Full, Era: store.Era(m.Era), AtRevision: store.Revision(m.AtRevision)}
 	for i := range m.Items {
 		it := &m.Items[i]
-		if it.Key == "" || it.Revision > m.AtRevision {
-			return none, eris.Errorf("update at revision %d holds %q of revision %d", m.AtRevision, it.Key, it.Revision)
+		if it.Key == "" || it.Era > m.Era || it.Era == m.Era && it.Revision > m.AtRevision {
+			return none, eris.Errorf("update at revision %d of era %d holds %q of revision %d of era %d", m.AtRevision, m.Era, it.Key, it.Revision, it.Era)
 		}
 		u.Events = append(u.Events, store.Event{
-			Entry:   store.Entry{Key: it.Key, Value: it.Value, Modified: store.Revision(it.Revision)},
+			Entry:   store.Entry{Key: it.Key, Value: it.Value, Modified: store.Revision(it.Revision), Era: store.Era(it.Era)},
 			Deleted: it.Removed,
 		})
 	}
--- a/internal/dsrpeer/peer.go
+++ b/internal/dsrpeer/peer.go
@@ -16,7 +16,6 @@
 	"mimosashore.example/mimosashore/internal/loadcontrol"
 	"mimosashore.example/mimosashore/internal/logging"
 	"mimosashore.example/mimosashore/internal/replica"
-	"mimosashore.example/mimosashore/internal/store"
 )
 
 // directoryPath is the path of the WebSocket of the control address.
@@ -38,6 +37,8 @@
 	helloMinInterval = 1500 * time.Millisecond
 	helloMaxInterval = 25 * time.Second
 	helloRetry       = 500 * time.Millisecond
+	// startHellos is the number of hosts that a host greets when it starts: the contacts.
+	startHellos = 3
 	// maxReaderStoreAge is the longest time since the last store answer of a host that
 	// reads the store for others: the sum of a watch, its timeout and a pause.
 	maxReaderStoreAge = 4 * time.Second
@@ -69,6 +70,8 @@
 	StoreAge func() time.Duration
 	// StoreFailing reports whether the last call to the store failed.
 	StoreFailing func() bool
+	// Resync requests a full read of the store by this host.
+	Resync func()
 	// ResumeReading is called when this host has to read the store itself again.
 	ResumeReading func()
 	// ApplyUpdate is called with an update from another host, empty for a heartbeat,
@@ -97,16 +100,18 @@
 	storeReader atomic.Pointer[netip.AddrPort]
 	// answeredHellos counts hellos that got an answer.
 	answeredHellos atomic.Uint64
+	// greeted is closed when the first round of hellos is over.
+	greeted chan struct{}
 	// nextReaderAttempt is when Follow next tries to follow a store reader.
 	nextReaderAttempt time.Duration
 	Stats             Stats
 
 	// mu guards encode and the cache of the last encoded update.
-	mu           sync.Mutex
-	encode       func(replica.Update) ([]byte, error)
-	lastRevision store.Revision
-	lastFull     bool
-	lastEncoded  []byte
+	mu          sync.Mutex
+	encode      func(replica.Update) ([]byte, error)
+	lastChange  uint64
+	lastFull    bool
+	lastEncoded []byte
 }
 
 // AnsweredHellos returns the number of hellos that were answered.
@@ -130,9 +135,15 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "can't listen on control address %s", s.Control)
 	}
-	return &Peer{settings: s, peers: newPeerTable(s.Control, s.Zone, s.Contacts), listener: l, encode: encodeUpdate}, nil
+	return &Peer{
+		settings: s, peers: newPeerTable(s.Control, s.Zone, s.Contacts), listener: l, encode: encodeUpdate, greeted: make(chan struct{}),
+	}, nil
 }
 
+// Greeted returns a channel that is closed when the first round of hellos is over: this
+// host then has what the answering hosts keep of the entries that the store lost.
+func (p *Peer) Greeted() <-chan struct{} { return p.greeted }
+
 // SetContacts replaces the contacts after a reload of the settings.
 func (p *Peer) SetContacts(contacts []netip.AddrPort) { p.peers.setContacts(contacts) }
 
--- a/internal/dsrpeer/peer_test.go
+++ b/internal/dsrpeer/peer_test.go
@@ -32,30 +32,38 @@
 	storeFailing atomic.Bool
 	// storeAge is the time since the last store answer that the host reports, in nanoseconds.
 	storeAge          atomic.Int64
-	resumed           atomic.Int32
+	resumed, resyncs  atomic.Int32
 	mu                sync.Mutex
 	receivedStoreAges []time.Duration
 	// stop ends the host and waits for its goroutines.
 	stop func()
 }
 
+// latestEra is a policy by which the entry of the latest era holds, and the registrations
+// ("up/...") that the store lost expire.
+type latestEra struct{}
+
+func (latestEra) Resolve(_, later store.Entry) store.Entry { return later }
+func (latestEra) Expires(key string) bool                  { return strings.HasPrefix(key, "up/") }
+
 // start runs a host on a free port until its stop or the end of the test.
 func start(t *testing.T, contacts ...netip.AddrPort) *host {
-	h := &host{replica: replica.New()}
-	h.storeAge.Store(int64(40 * time.Millisecond))
 	began := time.Now()
+	now := func() time.Duration { return time.Since(began) }
+	h := &host{replica: replica.New(latestEra{}, now)}
+	h.storeAge.Store(int64(40 * time.Millisecond))
 	s := Settings{
 		Control: netip.MustParseAddrPort("127.0.0.1:0"), Contacts: contacts, Replica: h.replica,
 		Zone: "a", Delegate: true,
 		NeedsPeers: h.needsPeers.Load, StoreAge: func() time.Duration { return time.Duration(h.storeAge.Load()) },
-		StoreFailing: h.storeFailing.Load, ResumeReading: func() { h.resumed.Add(1) },
+		StoreFailing: h.storeFailing.Load, ResumeReading: func() { h.resumed.Add(1) }, Resync: func() { h.resyncs.Add(1) },
 		ApplyUpdate: func(_ context.Context, u replica.Update, age time.Duration) {
 			h.replica.Apply(u)
 			h.mu.Lock()
 			defer h.mu.Unlock()
 			h.receivedStoreAges = append(h.receivedStoreAges, age)
 		},
-		Log: logging.ForComponent(zap.NewNop(), "peer"), Now: func() time.Duration { return time.Since(began) },
+		Log: logging.ForComponent(zap.NewNop(), "peer"), Now: now,
 	}
 	p, err := Listen(s)
 	require.NoError(t, err)
@@ -84,9 +92,9 @@
 	a.replica.Apply(replica.Update{Full: true, AtRevision: 10, Events: []store.Event{writeEvent("x", 3)}})
 	b := start(t, a.settings.Control)
 	b.needsPeers.Store(true)
-	require.Eventually(t, func() bool { return b.replica.AtRevision() == 10 }, 5*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return b.replica.Position().Revision == 10 }, 5*time.Second, 5*time.Millisecond)
 	a.replica.Apply(replica.Update{AtRevision: 12, Events: []store.Event{writeEvent("y", 12)}})
-	require.Eventually(t, func() bool { return b.replica.AtRevision() == 12 }, 5*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return b.replica.Position().Revision == 12 }, 5*time.Second, 5*time.Millisecond)
 	b.mu.Lock()
 	require.Equal(t, 40*time.Millisecond, b.receivedStoreAges[0])
 	b.mu.Unlock()
@@ -110,10 +118,10 @@
 	a.replica.Apply(replica.Update{Full: true, AtRevision: 10, Events: []store.Event{writeEvent("x", 3)}})
 	b := start(t, a.settings.Control)
 	b.needsPeers.Store(true)
-	require.Eventually(t, func() bool { return b.replica.AtRevision() == 10 }, 5*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return b.replica.Position().Revision == 10 }, 5*time.Second, 5*time.Millisecond)
 	a.replica.Apply(replica.Update{AtRevision: 12, Events: []store.Event{writeEvent("y", 12)}})
 	a.replica.Apply(replica.Update{AtRevision: 13, Events: []store.Event{writeEvent("z", 13)}})
-	require.Eventually(t, func() bool { return b.replica.AtRevision() == 13 }, 5*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return b.replica.Position().Revision == 13 }, 5*time.Second, 5*time.Millisecond)
 	snapshot, s := b.replica.Subscribe()
 	b.replica.Unsubscribe(s)
 	require.Len(t, snapshot.Events, 3)
@@ -130,8 +138,8 @@
 	require.Eventually(t, func() bool { return c.KnownPeers() >= 2 }, 5*time.Second, 5*time.Millisecond)
 	contact.stop()
 	c.needsPeers.Store(true)
-	require.Eventually(t, func() bool { return c.replica.AtRevision() == 7 }, 5*time.Second, 5*time.Millisecond)
-	require.Zero(t, b.replica.AtRevision())
+	require.Eventually(t, func() bool { return c.replica.Position().Revision == 7 }, 5*time.Second, 5*time.Millisecond)
+	require.Zero(t, b.replica.Position())
 }
 
 func TestHostWithoutDirectoryIsSkipped(t *testing.T) {
@@ -139,7 +147,7 @@
 	full.replica.Apply(replica.Update{Full: true, AtRevision: 9})
 	c := start(t, empty.settings.Control, full.settings.Control)
 	c.needsPeers.Store(true)
-	require.Eventually(t, func() bool { return c.replica.AtRevision() == 9 }, 5*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return c.replica.Position().Revision == 9 }, 5*time.Second, 5*time.Millisecond)
 }
 
 // Of five hosts of a zone two read the store and the others follow them. When the
--- a/internal/dsrpeer/serve.go
+++ b/internal/dsrpeer/serve.go
@@ -52,10 +52,10 @@
 func (p *Peer) serveFollower(ctx context.Context, ws *websocket.Conn, to netip.AddrPort, zone string) {
 	snapshot, updates := p.settings.Replica.Subscribe()
 	defer p.settings.Replica.Unsubscribe(updates)
-	p.settings.Log.Info("follower connected", zap.Stringer("host", to), zap.Uint64("revision", uint64(snapshot.AtRevision)))
+	p.settings.Log.Info("follower connected", zap.Stringer("host", to), zap.Uint64("era", uint64(snapshot.Era)), zap.Uint64("revision", uint64(snapshot.AtRevision)))
 	first := &syncMessage{Self: p.self(), Peers: p.peers.peerInfos(p.settings.Now(), zone)}
 	var err error
-	if snapshot.AtRevision != 0 {
+	if !snapshot.Position().IsZero() {
 		if first.Update, err = p.encodedUpdate(snapshot); err != nil {
 			p.settings.Log.Error("connection closed: directory can't be encoded for follower", zap.Stringer("host", to), zap.Error(err))
 			return
@@ -93,20 +93,21 @@
 func (p *Peer) encodedUpdate(u replica.Update) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.lastEncoded != nil && p.lastRevision == u.AtRevision && p.lastFull == u.Full {
+	if p.lastEncoded != nil && p.lastChange == u.Change && p.lastFull == u.Full {
 		return p.lastEncoded, nil
 	}
 	b, err := p.encode(u)
 	if err != nil {
 		return nil, err
 	}
-	p.lastRevision, p.lastFull, p.lastEncoded = u.AtRevision, u.Full, b
+	p.lastChange, p.lastFull, p.lastEncoded = u.Change, u.Full, b
 	return b, nil
 }
 
 func (p *Peer) send(ctx context.Context, ws *websocket.Conn, n *syncMessage) error {
 	n.StoreAgeMs = p.settings.StoreAge().Milliseconds()
 	n.ReadsStore = !p.settings.StoreFailing() && !p.Delegated()
+	n.Era, n.Kept, n.KeptForMs = uint64(p.settings.Replica.Position().Era), p.settings.Replica.Kept(), p.settings.Replica.KeptFor().Milliseconds()
 	p.Stats.Served.Add(1)
 	return write(ctx, ws, n)
 }
--- a/internal/measure/spreadrun/simulation.go
+++ b/internal/measure/spreadrun/simulation.go
@@ -276,13 +276,13 @@
 		n.Core.HandleList(w.Queue.Now(), store.Page{}, failure, out)
 		return
 	}
-	n.Core.HandleWatch(w.Queue.Now(), nil, call.Revision, failure, out)
+	n.Core.HandleWatch(w.Queue.Now(), nil, call.Position, failure, out)
 }
 
 func (w *Simulation) watch(n *Node, call spread.StoreCall, finish func(func(out *spread.Effects))) {
 	w.Store.Watches++
 	pending := &watch{node: n, call: call}
-	pending.done = func(events []store.Event, next store.Revision, err error) {
+	pending.done = func(events []store.Event, next store.Position, err error) {
 		for _, e := range events {
 			n.StoreBytes += len(e.Entry.Value)
 		}
@@ -292,10 +292,10 @@
 	}
 	if w.Store.HungWatch {
 		failure := &store.Error{Op: "watch", Fault: store.FaultUnavailable}
-		w.Queue.After(call.Wait+storeFailureDelay, func() { pending.done(nil, call.Revision, failure) })
+		w.Queue.After(call.Wait+storeFailureDelay, func() { pending.done(nil, call.Position, failure) })
 		return
 	}
-	if w.Store.hasEventsFor(pending) || call.Wait == 0 || call.Revision > w.Store.revision {
+	if w.Store.hasEventsFor(pending) || call.Wait == 0 || call.Position.Revision > w.Store.revision || call.Position.Era != w.Store.Era {
 		w.Store.answerWatch(pending)
 		return
 	}
--- a/internal/measure/spreadrun/store.go
+++ b/internal/measure/spreadrun/store.go
@@ -26,6 +26,8 @@
 	Reachable func(n *Node) bool
 	// Reads, Writes and Watches count the calls. Reads are listings.
 	Reads, Writes, Watches int
+	// Era is the store's era. A restored store that counts its eras has a higher one.
+	Era store.Era
 
 	revision  store.Revision
 	compacted store.Revision
@@ -38,7 +40,7 @@
 type watch struct {
 	node     *Node
 	call     spread.StoreCall
-	done     func(events []store.Event, next store.Revision, err error)
+	done     func(events []store.Event, next store.Position, err error)
 	answered bool
 }
 
@@ -103,7 +105,7 @@
 	if s.stale != nil {
 		from = s.stale
 	}
-	page := store.Page{At: from.revision}
+	page := store.Page{At: from.revision, Era: s.Era}
 	for key, e := range from.entries {
 		if strings.HasPrefix(key, call.Prefix) && key > call.After {
 			page.Entries = append(page.Entries, e)
@@ -123,13 +125,17 @@
 		return
 	}
 	w.answered = true
-	after := w.call.Revision
+	after := w.call.Position.Revision
+	if w.call.Position.Era != s.Era {
+		w.done(nil, w.call.Position, &store.Error{Op: "watch", Fault: store.FaultRestored})
+		return
+	}
 	if after < s.compacted || after > s.revision {
-		w.done(nil, after, &store.Error{Op: "watch", Fault: store.FaultCompacted})
+		w.done(nil, w.call.Position, &store.Error{Op: "watch", Fault: store.FaultCompacted})
 		return
 	}
 	if s.isSilent(w) {
-		w.done(nil, after, nil)
+		w.done(nil, w.call.Position, nil)
 		return
 	}
 	var events []store.Event
@@ -138,9 +144,9 @@
 			events = append(events, e)
 		}
 	}
-	w.done(events, s.revision, nil)
+	w.done(events, store.Position{Era: s.Era, Revision: s.revision}, nil)
 }
 
 func (s *Store) hasEventsFor(w *watch) bool {
-	return !s.isSilent(w) && s.revision > w.call.Revision
+	return !s.isSilent(w) && s.revision > w.call.Position.Revision
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -1,32 +1,75 @@
 // Package replica keeps a copy of the items that a host read from the platform's
 // store, unparsed, so that the host can serve them to hosts that cannot reach the
-// store. A replica is complete up to a revision of the store, which never decreases.
+// store. A replica is complete up to a position of the store, which never decreases.
+//
+// A store that was restored from a copy lacks the last writes and continues in a new
+// era. The replica then keeps the entries that were lost: registrations until their
+// writers had time to write them again, other entries until a newer one is written.
 package replica
 
 import (
+	"bytes"
 	"sync"
+	"time"
 
 	"mimosashore.example/mimosashore/internal/store"
 )
 
-// subscriberQueueSize is the number of updates that are queued for a subscriber
-// before it is dropped. A dropped subscriber starts over with a snapshot.
-const subscriberQueueSize = 32
+const (
+	// subscriberQueueSize is the number of updates that are queued for a subscriber
+	// before it is dropped. A dropped subscriber starts over with a snapshot.
+	subscriberQueueSize = 32
+	// RewriteTime is how long after the store's return lost registrations are kept: the
+	// platform's upstreams write them again within about two seconds, and a batched
+	// watch delivers that up to 0.7 s later.
+	RewriteTime = 3 * time.Second
+)
 
 // Update is a snapshot of the store's items or the changes since an earlier revision.
 type Update struct {
 	// Full marks a snapshot: Events holds all existing items, and others are deleted.
 	Full bool
-	// AtRevision is the store revision up to which the update is complete.
+	// Era and AtRevision are the position of the store up to which the update is
+	// complete. Events of earlier eras are entries that the store lost and that are kept.
+	Era        store.Era
 	AtRevision store.Revision
 	Events     []store.Event
+	// KeptFor is how long lost registrations are still kept.
+	KeptFor time.Duration
+	// Change numbers the states of the replica that the update leads to; it has no meaning
+	// for other replicas.
+	Change uint64
+}
+
+// Position returns the position of the store up to which the update is complete.
+func (u *Update) Position() store.Position {
+	return store.Position{Era: u.Era, Revision: u.AtRevision}
+}
+
+// Policy decides about entries that were written in different eras of the store.
+type Policy interface {
+	// Resolve returns the entry to hold of two of the same key: later, which the store
+	// has; earlier, of an earlier era, if it is newer by what its writer says; or a mix
+	// that has the position of later.
+	Resolve(earlier, later store.Entry) store.Entry
+	// Expires reports whether a lost entry of the key is kept for RewriteTime only.
+	Expires(key string) bool
 }
 
 // Replica is a copy of the store's items. It is safe for concurrent use.
 type Replica struct {
-	mu          sync.Mutex
-	revision    store.Revision
-	items       map[string]store.Entry
+	policy Policy
+	now    func() time.Duration
+
+	mu       sync.Mutex
+	position store.Position
+	// items holds the items of the store, kept those of earlier eras that hold instead.
+	items map[string]store.Entry
+	kept  map[string]store.Entry
+	// keptUntil is when kept entries that expire are dropped.
+	keptUntil time.Duration
+	// changes counts the changes of items and kept.
+	changes     uint64
 	subscribers map[*Subscription]struct{}
 }
 
@@ -36,48 +79,226 @@
 	C chan Update
 }
 
-// New returns an empty replica.
-func New() *Replica {
-	return &Replica{items: make(map[string]store.Entry), subscribers: make(map[*Subscription]struct{})}
+// New returns an empty replica. The function now returns the time since the start of
+// the host.
+func New(policy Policy, now func() time.Duration) *Replica {
+	return &Replica{
+		policy: policy, now: now,
+		items: make(map[string]store.Entry), kept: make(map[string]store.Entry), subscribers: make(map[*Subscription]struct{}),
+	}
+}
+
+// Position returns the position up to which the replica is complete, or zero if no
+// snapshot was applied yet.
+func (r *Replica) Position() store.Position {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.position
 }
 
-// AtRevision returns the revision up to which the replica is complete, or zero if
-// no snapshot was applied yet.
-func (r *Replica) AtRevision() store.Revision {
+// Kept returns the number of entries that the store lost and that are kept.
+func (r *Replica) Kept() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.revision
+	return len(r.kept)
+}
+
+// KeptFor returns how long lost registrations are still kept.
+func (r *Replica) KeptFor() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.keptFor()
 }
 
 // Apply applies an update and returns its new part. It reports false if the update
-// is not newer than the replica, or if no snapshot was applied before it.
+// holds nothing new, or if no snapshot of its era was applied before it.
 func (r *Replica) Apply(u Update) (Update, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	newer := u.Position().Compare(r.position) > 0
+	var events []store.Event
 	switch {
-	case u.Full && u.AtRevision <= r.revision && r.revision != 0:
-		return Update{}, false
-	case u.Full:
-		r.items = make(map[string]store.Entry, len(u.Events))
-	case r.revision == 0 || u.AtRevision <= r.revision:
+	case u.Full && newer:
+		events = r.replace(u)
+	case r.position.IsZero() || u.Era > r.position.Era:
 		return Update{}, false
+	default:
+		if newer {
+			events = r.applyEvents(u.Events)
+			r.position = u.Position()
+		}
+		events = append(events, r.keepLost(u.Events)...)
+		if !newer && len(events) == 0 {
+			return Update{}, false
+		}
 	}
-	fresh := Update{Full: u.Full, AtRevision: u.AtRevision}
+	r.changes++
+	fresh := Update{Full: u.Full && newer, Era: r.position.Era, AtRevision: r.position.Revision, Events: events, KeptFor: r.keptFor(), Change: r.changes}
+	r.publish(fresh)
+	return fresh, true
+}
+
+// replace replaces the items by a newer snapshot and returns what then holds. Held
+// entries and entries of the snapshot that are of earlier eras are kept if the store
+// lost them.
+func (r *Replica) replace(u Update) []store.Event {
+	var lost []store.Entry
+	for _, e := range r.items {
+		lost = append(lost, e)
+	}
+	for _, e := range r.kept {
+		lost = append(lost, e)
+	}
+	if u.Era > r.position.Era {
+		r.keptUntil = r.now() + RewriteTime
+		if u.KeptFor > 0 {
+			r.keptUntil = r.now() + min(u.KeptFor, RewriteTime)
+		}
+	}
+	r.position = u.Position()
+	r.items, r.kept = make(map[string]store.Entry, len(u.Events)), make(map[string]store.Entry)
 	for i := range u.Events {
-		e := &u.Events[i]
-		if !u.Full && e.Entry.Modified <= r.revision {
+		if e := u.Events[i].Entry; e.Era == u.Era {
+			r.items[e.Key] = e
+		} else {
+			lost = append(lost, e)
+		}
+	}
+	for _, e := range lost {
+		r.keep(e)
+	}
+	return r.events()
+}
+
+// keep keeps an entry of an earlier era if the store lost it. It returns the entry that
+// holds for the key and whether that changed.
+func (r *Replica) keep(e store.Entry) (store.Entry, bool) {
+	if e.Era >= r.position.Era || r.policy.Expires(e.Key) && r.now() >= r.keptUntil {
+		return e, false
+	}
+	held, ok := r.held(e.Key)
+	if !ok {
+		r.kept[e.Key] = e
+		return e, true
+	}
+	earlier, later := e, held
+	if held.Position().Compare(e.Position()) < 0 {
+		earlier, later = held, e
+	}
+	winner := later
+	if earlier.Era != later.Era && !bytes.Equal(earlier.Value, later.Value) {
+		winner = r.policy.Resolve(earlier, later)
+	}
+	if winner.Position() == held.Position() && bytes.Equal(winner.Value, held.Value) {
+		return held, false
+	}
+	if winner.Era == r.position.Era {
+		r.items[e.Key] = winner
+		delete(r.kept, e.Key)
+	} else {
+		r.kept[e.Key] = winner
+	}
+	return winner, true
+}
+
+// held returns the entry that holds for a key.
+func (r *Replica) held(key string) (store.Entry, bool) {
+	if e, ok := r.kept[key]; ok {
+		return e, true
+	}
+	e, ok := r.items[key]
+	return e, ok
+}
+
+// keepLost keeps the events of earlier eras that the store lost, and returns what then
+// holds.
+func (r *Replica) keepLost(events []store.Event) []store.Event {
+	var out []store.Event
+	for _, e := range events {
+		if e.Deleted {
 			continue
 		}
+		if held, changed := r.keep(e.Entry); changed {
+			out = append(out, store.Event{Entry: held})
+		}
+	}
+	return out
+}
+
+// applyEvents applies events of the current era that are newer than the replica and
+// returns those that change what holds.
+func (r *Replica) applyEvents(events []store.Event) []store.Event {
+	var out []store.Event
+	for _, e := range events {
+		if e.Entry.Era != r.position.Era || e.Entry.Modified <= r.position.Revision {
+			continue
+		}
+		key := e.Entry.Key
+		lost, kept := r.kept[key]
 		if e.Deleted {
-			delete(r.items, e.Entry.Key)
-		} else {
-			r.items[e.Entry.Key] = e.Entry
+			delete(r.items, key)
+			if !kept {
+				out = append(out, e)
+			}
+			continue
+		}
+		r.items[key] = e.Entry
+		if kept {
+			held := r.policy.Resolve(lost, e.Entry)
+			if held.Era != e.Entry.Era {
+				continue
+			}
+			delete(r.kept, key)
+			r.items[key], e.Entry = held, held
 		}
-		fresh.Events = append(fresh.Events, *e)
+		out = append(out, e)
 	}
-	r.revision = u.AtRevision
-	r.publish(fresh)
-	return fresh, true
+	return out
+}
+
+// DropExpired drops the kept entries that were not written again in time, and returns
+// the change. It reports false if there are none.
+func (r *Replica) DropExpired() (Update, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u := Update{Era: r.position.Era, AtRevision: r.position.Revision}
+	if r.now() < r.keptUntil {
+		return u, false
+	}
+	for key := range r.kept {
+		if !r.policy.Expires(key) {
+			continue
+		}
+		delete(r.kept, key)
+		if stored, ok := r.items[key]; ok {
+			u.Events = append(u.Events, store.Event{Entry: stored})
+			continue
+		}
+		u.Events = append(u.Events, store.Event{Entry: store.Entry{Key: key, Modified: r.position.Revision, Era: r.position.Era}, Deleted: true})
+	}
+	if len(u.Events) > 0 {
+		r.changes++
+	}
+	return u, len(u.Events) > 0
+}
+
+func (r *Replica) keptFor() time.Duration { return max(r.keptUntil-r.now(), 0) }
+
+// events returns the entries that hold.
+func (r *Replica) events() []store.Event {
+	out := make([]store.Event, 0, len(r.items)+len(r.kept))
+	expired := r.now() >= r.keptUntil
+	for key, e := range r.items {
+		if _, ok := r.kept[key]; !ok || expired && r.policy.Expires(key) {
+			out = append(out, store.Event{Entry: e})
+		}
+	}
+	for key, e := range r.kept {
+		if !expired || !r.policy.Expires(key) {
+			out = append(out, store.Event{Entry: e})
+		}
+	}
+	return out
 }
 
 func (r *Replica) publish(u Update) {
@@ -91,15 +312,23 @@
 	}
 }
 
+// Snapshot returns all entries that hold.
+func (r *Replica) Snapshot() Update {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.snapshot()
+}
+
+func (r *Replica) snapshot() Update {
+	return Update{Full: true, Era: r.position.Era, AtRevision: r.position.Revision, Events: r.events(), KeptFor: r.keptFor(), Change: r.changes}
+}
+
 // Subscribe returns a snapshot and a subscription to the updates that follow it.
-// The snapshot is empty, at revision zero, if the replica has no data yet.
+// The snapshot is empty, at the zero position, if the replica has no data yet.
 func (r *Replica) Subscribe() (Update, *Subscription) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	snapshot := Update{Full: true, AtRevision: r.revision}
-	for _, e := range r.items {
-		snapshot.Events = append(snapshot.Events, store.Event{Entry: e})
-	}
+	snapshot := r.snapshot()
 	s := &Subscription{C: make(chan Update, subscriberQueueSize)}
 	r.subscribers[s] = struct{}{}
 	return snapshot, s
--- a/internal/spread/core.go
+++ b/internal/spread/core.go
@@ -63,6 +63,8 @@
 	// Held is the revision that this host holds after the decision. In a record
 	// about the store as a whole, Revision and Held are revisions of the store.
 	Held uint64
+	// Era is the store's era, in records about a restore.
+	Era uint64
 	// Source is the host that offered the document, or zero for the store.
 	Source ids.HostID
 	Reason string
@@ -114,13 +116,13 @@
 type link struct {
 	host      ids.HostID
 	nextHello time.Duration
-	// digest, ready, count and storeRevision are from the peer's last hello.
+	// digest, ready, count and storePosition are from the peer's last hello.
 	// helloReceived is set once one has arrived.
 	digest        uint64
 	helloReceived bool
 	ready         bool
 	count         uint32
-	storeRevision store.Revision
+	storePosition store.Position
 	// mismatches counts the hellos since the digests were last equal or a comparison
 	// of buckets was started.
 	mismatches int
--- a/internal/spread/links.go
+++ b/internal/spread/links.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mimosashore.example/mimosashore/internal/ids"
+	"mimosashore.example/mimosashore/internal/store"
 )
 
 // maxIndexBuckets is the largest number of differing buckets covered by one index.
@@ -74,14 +75,16 @@
 }
 
 func (c *Core) hello() *Message {
+	known := c.reader.knownPosition()
 	return &Message{
 		Kind: KindHello, Digest: c.docs.digest(), Count: uint32(len(c.docs.names)),
-		Ready: c.ready, StoreRevision: c.reader.knownRevision(),
+		Ready: c.ready, StoreEra: known.Era, StoreRevision: known.Revision,
 	}
 }
 
 func (c *Core) handleHello(now time.Duration, l *link, m *Message, out *Effects) {
-	l.helloReceived, l.digest, l.ready, l.count, l.storeRevision = true, m.Digest, m.Ready, m.Count, m.StoreRevision
+	l.helloReceived, l.digest, l.ready, l.count = true, m.Digest, m.Ready, m.Count
+	l.storePosition = store.Position{Era: m.StoreEra, Revision: m.StoreRevision}
 	l.mismatches++
 	c.compareDigests(now, l, out)
 }
@@ -94,7 +97,7 @@
 func (c *Core) compareDigests(now time.Duration, l *link, out *Effects) {
 	if l.digest == c.docs.digest() {
 		l.mismatches = 0
-		c.reader.raisePeerRevision(l.storeRevision)
+		c.reader.raisePeerPosition(l.storePosition)
 		if l.ready && l.count > 0 {
 			c.markReady("same documents as a host that is ready", out)
 		}
--- a/internal/spread/message.go
+++ b/internal/spread/message.go
@@ -75,8 +75,9 @@
 	Count  uint32
 	// Ready is set if the sender has a complete configuration.
 	Ready bool
-	// StoreRevision is the store revision up to which the sender has seen all
-	// writes.
+	// StoreEra and StoreRevision are the position of the store up to which the sender
+	// has seen all writes.
+	StoreEra      store.Era
 	StoreRevision store.Revision
 	// Buckets holds the digest of each bucket in a KindDigest, and the numbers of
 	// the listed buckets in a KindIndex.
--- a/internal/spread/reader.go
+++ b/internal/spread/reader.go
@@ -68,8 +68,8 @@
 	Prefix string
 	After  string
 	Limit  int
-	// Revision and Wait are the arguments of a CallWatch.
-	Revision store.Revision
+	// Position and Wait are the arguments of a CallWatch.
+	Position store.Position
 	Wait     time.Duration
 }
 
@@ -81,7 +81,7 @@
 	phaseList phase = iota
 	// phaseWatch waits for writes.
 	phaseWatch
-	// phaseCheck reads one entry and the store's revision, to detect writes that the
+	// phaseCheck reads one entry and the store's position, to detect writes that the
 	// watch missed.
 	phaseCheck
 	// phaseCatchUp polls, without waiting, for the writes that the check detected.
@@ -101,16 +101,16 @@
 	callGeneration int
 	listedAt       time.Duration
 	listed         bool
-	// revision is the revision up to which this host has read all writes itself.
-	revision store.Revision
-	// peerRevision is the highest such revision reported by hosts with equal
+	// position is the position up to which this host has read all writes itself.
+	position store.Position
+	// peerPosition is the latest such position reported by hosts with equal
 	// documents.
-	peerRevision store.Revision
-	// position, listRevision and listNames are the position, the revision and the
-	// keys read so far of the current listing.
-	position     listPosition
-	listRevision store.Revision
-	listNames    map[string]bool
+	peerPosition store.Position
+	// list, listedFrom and listNames are the progress of the current listing, the
+	// store's position at its start and the keys read so far.
+	list       listPosition
+	listedFrom store.Position
+	listNames  map[string]bool
 	// heldAtStart holds the names of the documents that were held when the listing
 	// started.
 	heldAtStart []string
@@ -125,17 +125,19 @@
 	behind map[string]uint64
 }
 
-// knownRevision returns the revision up to which this host is known to have all
+// knownPosition returns the position up to which this host is known to have all
 // writes.
-func (r *storeReader) knownRevision() store.Revision {
+func (r *storeReader) knownPosition() store.Position {
 	if r.watcher && r.phase != phaseList {
-		return r.revision
+		return r.position
 	}
-	return r.peerRevision
+	return r.peerPosition
 }
 
-func (r *storeReader) raisePeerRevision(at store.Revision) {
-	r.peerRevision = max(r.peerRevision, at)
+func (r *storeReader) raisePeerPosition(at store.Position) {
+	if at.Compare(r.peerPosition) > 0 {
+		r.peerPosition = at
+	}
 }
 
 func (c *Core) setWatcher(now time.Duration, watcher bool, out *Effects) {
@@ -147,21 +149,21 @@
 	event := "store watched by this host"
 	if !watcher {
 		event = "store watched by other hosts"
-		r.peerRevision = r.revision
+		r.peerPosition = r.position
 	} else {
 		c.startReading(now)
 	}
 	out.Records = append(out.Records, Record{Event: event, Reason: "rendezvous over the availability zone's hosts"})
 }
 
-// startReading continues from the revision reached by peers with equal documents,
+// startReading continues from the position reached by peers with equal documents,
 // or lists the store if there is none.
 func (c *Core) startReading(now time.Duration) {
 	r := &c.reader
 	r.generation++
 	r.retryAt, r.retryWait = 0, 0
-	if c.ready && r.peerRevision > 0 {
-		r.phase, r.revision = phaseWatch, r.peerRevision
+	if c.ready && !r.peerPosition.IsZero() {
+		r.phase, r.position = phaseWatch, r.peerPosition
 		return
 	}
 	c.startListing(now)
@@ -177,7 +179,7 @@
 	r := &c.reader
 	r.generation++
 	r.listed, r.listedAt = true, now
-	r.phase, r.position, r.listRevision = phaseList, listPosition{}, 0
+	r.phase, r.list, r.listedFrom = phaseList, listPosition{}, store.Position{}
 	r.listNames = make(map[string]bool)
 	r.heldAtStart = append([]string(nil), c.docs.names...)
 }
@@ -190,13 +192,13 @@
 	r.inFlight, r.callGeneration = true, r.generation
 	switch r.phase {
 	case phaseList:
-		out.Call = listCall(r.position, listLimit)
+		out.Call = listCall(r.list, listLimit)
 	case phaseCheck:
 		out.Call = listCall(r.check, checkLimit)
 	case phaseCatchUp:
-		out.Call = &StoreCall{Kind: CallWatch, Revision: r.revision}
+		out.Call = &StoreCall{Kind: CallWatch, Position: r.position}
 	default:
-		out.Call = &StoreCall{Kind: CallWatch, Revision: r.revision, Wait: watchWait}
+		out.Call = &StoreCall{Kind: CallWatch, Position: r.position, Wait: watchWait}
 	}
 }
 
--- a/internal/spread/results.go
+++ b/internal/spread/results.go
@@ -20,7 +20,7 @@
 	if r.phase == phaseCheck {
 		c.handleCheck(now, page, out)
 	} else {
-		c.handleListPage(page, out)
+		c.handleListPage(now, page, out)
 	}
 	c.callStore(now, out)
 	c.flush(out)
@@ -32,20 +32,24 @@
 	}
 }
 
-func (c *Core) handleListPage(page store.Page, out *Effects) {
+func (c *Core) handleListPage(now time.Duration, page store.Page, out *Effects) {
 	r := &c.reader
-	if r.position == (listPosition{}) {
+	if r.list == (listPosition{}) {
 		// Writes after the first page are delivered by the following watch.
-		r.listRevision = page.At
+		r.listedFrom = page.Position()
+	}
+	if page.Era != r.listedFrom.Era {
+		c.restartAfterRestore(now, page.Position(), out)
+		return
 	}
 	for _, e := range page.Entries {
 		r.listNames[e.Key] = true
 	}
 	var complete bool
-	if r.position, complete = r.position.next(page); !complete {
+	if r.list, complete = r.list.next(page); !complete {
 		return
 	}
-	r.revision, r.phase = r.listRevision, phaseWatch
+	r.position, r.phase = r.listedFrom, phaseWatch
 	c.reportMissing(out)
 	c.markReady("whole listing of the store", out)
 }
@@ -68,18 +72,31 @@
 	}
 }
 
-// handleCheck compares the store's revision with the one that the watch has
+// restartAfterRestore starts a listing of the restored store. Its revisions can't be
+// compared with those that this host has reached.
+func (c *Core) restartAfterRestore(now time.Duration, at store.Position, out *Effects) {
+	c.counters.StoreRelists++
+	out.Records = append(out.Records, Record{
+		Event: "store was restored from a copy", Revision: uint64(at.Revision), Held: uint64(c.reader.position.Revision), Era: uint64(at.Era),
+		Reason: "documents that it lost stay in force", Warn: true,
+	})
+	c.startListing(now)
+}
+
+// handleCheck compares the store's position with the one that the watch has
 // reached.
 func (c *Core) handleCheck(now time.Duration, page store.Page, out *Effects) {
 	r := &c.reader
 	r.check, _ = r.check.next(page)
 	switch {
-	case page.At > r.revision:
+	case page.Era != r.position.Era:
+		c.restartAfterRestore(now, page.Position(), out)
+	case page.At > r.position.Revision:
 		r.phase = phaseCatchUp
-	case page.At < r.revision && r.mayRelist(now, decreaseListInterval):
+	case page.At < r.position.Revision && r.mayRelist(now, decreaseListInterval):
 		c.counters.StoreRelists++
 		out.Records = append(out.Records, Record{
-			Event: "store revision decreased", Revision: uint64(page.At), Held: uint64(r.revision),
+			Event: "store revision decreased", Revision: uint64(page.At), Held: uint64(r.position.Revision),
 			Reason: "it is lower than the revision that the watch reached", Warn: true,
 		})
 		c.startListing(now)
@@ -89,7 +106,7 @@
 }
 
 // HandleWatch handles the result of a CallWatch.
-func (c *Core) HandleWatch(now time.Duration, events []store.Event, next store.Revision, err error, out *Effects) {
+func (c *Core) HandleWatch(now time.Duration, events []store.Event, next store.Position, err error, out *Effects) {
 	r := &c.reader
 	r.inFlight = false
 	if !r.watcher || r.callGeneration != r.generation || !c.checkResult(now, err, out) {
@@ -99,8 +116,8 @@
 		c.handleEvent(now, e, out)
 	}
 	switch {
-	case next > r.revision:
-		r.revision, r.phase = next, phaseWatch
+	case next.Compare(r.position) > 0:
+		r.position, r.phase = next, phaseWatch
 	case r.phase == phaseCatchUp:
 		c.handleSilentWatch(now, out)
 	default:
@@ -111,12 +128,12 @@
 }
 
 // handleSilentWatch handles a watch that did not deliver existing writes. It
-// continues from the revision reached by peers with equal documents, or lists the
+// continues from the position reached by peers with equal documents, or lists the
 // store again.
 func (c *Core) handleSilentWatch(now time.Duration, out *Effects) {
 	r := &c.reader
-	if r.peerRevision > r.revision {
-		r.revision, r.phase = r.peerRevision, phaseWatch
+	if r.peerPosition.Compare(r.position) > 0 {
+		r.position, r.phase = r.peerPosition, phaseWatch
 		return
 	}
 	if !r.mayRelist(now, silentListInterval) {
@@ -125,7 +142,7 @@
 	}
 	c.counters.SilentWatches++
 	out.Records = append(out.Records, Record{
-		Event: "watch is silent", Revision: uint64(r.revision), Reason: "the store holds later writes", Warn: true,
+		Event: "watch is silent", Revision: uint64(r.position.Revision), Reason: "the store holds later writes", Warn: true,
 	})
 	c.startListing(now)
 }
@@ -170,9 +187,13 @@
 	}
 	c.counters.StoreFailures++
 	var failure *store.Error
+	if errors.As(err, &failure) && failure.Fault == store.FaultRestored {
+		c.restartAfterRestore(now, store.Position{}, out)
+		return false
+	}
 	if errors.As(err, &failure) && failure.Fault == store.FaultCompacted {
 		c.counters.StoreRelists++
-		out.Records = append(out.Records, Record{Event: "listing the store again", Revision: uint64(r.revision), Reason: "the revision to watch from was compacted"})
+		out.Records = append(out.Records, Record{Event: "listing the store again", Revision: uint64(r.position.Revision), Reason: "the revision to watch from was compacted"})
 		c.startListing(now)
 		return false
 	}
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -40,6 +40,7 @@
 	stale         map[string]store.Entry
 	staleKeys     []string
 	staleRevision store.Revision
+	staleEra      store.Era
 }
 
 // Faults returns the injected faults.
@@ -76,7 +77,7 @@
 		if err != nil {
 			return err
 		}
-		s.staleRevision = page.At
+		s.staleRevision, s.staleEra = page.At, page.Era
 		for _, e := range page.Entries {
 			s.stale[e.Key] = e
 			s.staleKeys = append(s.staleKeys, e.Key)
@@ -174,7 +175,7 @@
 	if state.faults.StaleReads {
 		defer state.mu.Unlock()
 		e := state.stale[key]
-		e.Key = key
+		e.Key, e.Era = key, state.staleEra
 		return e, nil
 	}
 	state.mu.Unlock()
@@ -190,7 +191,7 @@
 		return s.Store.List(ctx, prefix, after, limit)
 	}
 	defer state.mu.Unlock()
-	page := store.Page{At: state.staleRevision}
+	page := store.Page{At: state.staleRevision, Era: state.staleEra}
 	for _, key := range state.staleKeys {
 		if key <= after || !strings.HasPrefix(key, prefix) {
 			continue
@@ -205,7 +206,7 @@
 }
 
 // Watch implements store.Store.
-func (s *faultStore) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
+func (s *faultStore) Watch(ctx context.Context, prefix string, after store.Position, wait time.Duration) ([]store.Event, store.Position, error) {
 	if s.platform.Faults().SilentWatch {
 		sleep(ctx, wait)
 		return nil, after, nil
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -29,13 +29,13 @@
 	return store.Page{Entries: []store.Entry{s.entry}, At: s.entry.Modified}, nil
 }
 
-func (s *singleKeyStore) CompareAndSwap(_ context.Context, key string, _ store.Revision, value []byte, _ store.LeaseID) (store.Entry, error) {
+func (s *singleKeyStore) CompareAndSwap(_ context.Context, key string, _ store.Position, value []byte, _ store.LeaseID) (store.Entry, error) {
 	s.entry = store.Entry{Key: key, Value: value, Modified: s.entry.Modified + 1}
 	return s.entry, nil
 }
 
-func (s *singleKeyStore) Watch(context.Context, string, store.Revision, time.Duration) ([]store.Event, store.Revision, error) {
-	return []store.Event{{Entry: s.entry}}, s.entry.Modified, nil
+func (s *singleKeyStore) Watch(context.Context, string, store.Position, time.Duration) ([]store.Event, store.Position, error) {
+	return []store.Event{{Entry: s.entry}}, s.entry.Position(), nil
 }
 
 func (s *singleKeyStore) ExpireLease(lease store.LeaseID) bool {
@@ -73,14 +73,14 @@
 func TestAnswerOfAppliedWriteIsLost(t *testing.T) {
 	f := newFixture(t)
 	require.Equal(t, http.StatusOK, f.do(t, http.MethodPut, "/faults", `{"lose_answers":1}`).StatusCode)
-	_, err := f.client.CompareAndSwap(context.Background(), "a", 1, []byte("2"), 0)
+	_, err := f.client.CompareAndSwap(context.Background(), "a", store.Position{Revision: 1}, []byte("2"), 0)
 	var failure *store.Error
 	require.ErrorAs(t, err, &failure)
 	require.Equal(t, store.EffectUnknown, failure.Effect)
 	e, err := f.client.Get(context.Background(), "a")
 	require.NoError(t, err)
 	require.Equal(t, "2", string(e.Value))
-	_, err = f.client.CompareAndSwap(context.Background(), "a", 2, []byte("3"), 0)
+	_, err = f.client.CompareAndSwap(context.Background(), "a", store.Position{Revision: 2}, []byte("3"), 0)
 	require.NoError(t, err, "only one response is lost")
 }
 
@@ -92,7 +92,7 @@
 	require.Error(t, err)
 
 	require.NoError(t, f.SetFaults(ctx, Faults{StaleReads: true, SilentWatch: true}))
-	_, err = f.client.CompareAndSwap(ctx, "a", 1, []byte("2"), 0)
+	_, err = f.client.CompareAndSwap(ctx, "a", store.Position{Revision: 1}, []byte("2"), 0)
 	require.NoError(t, err)
 	e, err := f.client.Get(ctx, "a")
 	require.NoError(t, err)
@@ -100,10 +100,10 @@
 	page, err := f.client.List(ctx, "", "", 10)
 	require.NoError(t, err)
 	require.Equal(t, store.Revision(1), page.At)
-	events, next, err := f.client.Watch(ctx, "", 1, time.Millisecond)
+	events, next, err := f.client.Watch(ctx, "", store.Position{Revision: 1}, time.Millisecond)
 	require.NoError(t, err)
 	require.Empty(t, events)
-	require.Equal(t, store.Revision(1), next)
+	require.Equal(t, store.Position{Revision: 1}, next)
 
 	require.NoError(t, f.SetFaults(ctx, Faults{Delay: time.Hour}))
 	slow, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
@@ -112,7 +112,7 @@
 	require.Error(t, err)
 
 	require.NoError(t, f.SetFaults(ctx, Faults{}))
-	events, _, err = f.client.Watch(ctx, "", 1, time.Millisecond)
+	events, _, err = f.client.Watch(ctx, "", store.Position{Revision: 1}, time.Millisecond)
 	require.NoError(t, err)
 	require.Len(t, events, 1)
 	require.Equal(t, 2, f.Counters()[kindWatch].Total)
--- a/internal/store/faultstore/faultstore.go
+++ b/internal/store/faultstore/faultstore.go
@@ -112,7 +112,7 @@
 }
 
 // CompareAndSwap implements store.Store.
-func (s *Store) CompareAndSwap(ctx context.Context, key string, expect store.Revision, value []byte, lease store.LeaseID) (store.Entry, error) {
+func (s *Store) CompareAndSwap(ctx context.Context, key string, expect store.Position, value []byte, lease store.LeaseID) (store.Entry, error) {
 	return run(s, "compare-and-swap", key, true, func() (store.Entry, error) {
 		return s.inner.CompareAndSwap(ctx, key, expect, value, lease)
 	})
@@ -131,10 +131,10 @@
 
 // Watch implements store.Store. A watch that fails delivers no events; the caller
 // can retry it from the same revision.
-func (s *Store) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
+func (s *Store) Watch(ctx context.Context, prefix string, after store.Position, wait time.Duration) ([]store.Event, store.Position, error) {
 	type answer struct {
 		events []store.Event
-		at     store.Revision
+		at     store.Position
 	}
 	a, err := run(s, "watch", prefix, false, func() (answer, error) {
 		events, at, err := s.inner.Watch(ctx, prefix, after, wait)
--- a/internal/store/httpstore/client.go
+++ b/internal/store/httpstore/client.go
@@ -80,7 +80,7 @@
 }
 
 // CompareAndSwap implements store.Store.
-func (c *Client) CompareAndSwap(ctx context.Context, key string, expect store.Revision, value []byte, lease store.LeaseID) (store.Entry, error) {
+func (c *Client) CompareAndSwap(ctx context.Context, key string, expect store.Position, value []byte, lease store.LeaseID) (store.Entry, error) {
 	info := call{op: "compare-and-swap", path: PathCompareAndSwap, key: key, write: true}
 	if len(value) > store.MaxValue {
 		return store.Entry{}, info.newError(store.FaultTooLarge, store.EffectNone, nil)
@@ -104,7 +104,7 @@
 }
 
 // Watch implements store.Store with a single long poll.
-func (c *Client) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
+func (c *Client) Watch(ctx context.Context, prefix string, after store.Position, wait time.Duration) ([]store.Event, store.Position, error) {
 	info := call{op: "watch", path: PathWatch, key: prefix}
 	req := watchRequest{Prefix: prefix, After: after, Wait: wait}
 	answer, err := do[watchResponse](ctx, c, c.timeout+wait, info, req)
--- a/internal/store/httpstore/httpstore_test.go
+++ b/internal/store/httpstore/httpstore_test.go
@@ -29,7 +29,7 @@
 	return store.Page{Entries: []store.Entry{s.entry}, At: 9, More: true}, s.err
 }
 
-func (s *scriptedStore) CompareAndSwap(_ context.Context, _ string, _ store.Revision, value []byte, lease store.LeaseID) (store.Entry, error) {
+func (s *scriptedStore) CompareAndSwap(_ context.Context, _ string, _ store.Position, value []byte, lease store.LeaseID) (store.Entry, error) {
 	s.value, s.lease = value, lease
 	return s.entry, s.err
 }
@@ -38,8 +38,8 @@
 
 func (s *scriptedStore) KeepAlive(context.Context, store.LeaseID) error { return s.err }
 
-func (s *scriptedStore) Watch(context.Context, string, store.Revision, time.Duration) ([]store.Event, store.Revision, error) {
-	return s.events, 12, s.err
+func (s *scriptedStore) Watch(context.Context, string, store.Position, time.Duration) ([]store.Event, store.Position, error) {
+	return s.events, store.Position{Era: 2, Revision: 12}, s.err
 }
 
 func serve(t *testing.T, h http.Handler) *Client {
@@ -62,7 +62,7 @@
 	page, err := c.List(ctx, "", "", 1)
 	require.NoError(t, err)
 	require.Equal(t, store.Page{Entries: []store.Entry{entry}, At: 9, More: true}, page)
-	_, err = c.CompareAndSwap(ctx, "a", 3, nil, 7)
+	_, err = c.CompareAndSwap(ctx, "a", store.Position{Revision: 3}, nil, 7)
 	require.NoError(t, err)
 	require.Nil(t, s.value, "the nil value of a deletion is preserved")
 	require.Equal(t, store.LeaseID(7), s.lease)
@@ -70,10 +70,10 @@
 	require.NoError(t, err)
 	require.Equal(t, store.LeaseID(4), lease)
 	require.NoError(t, c.KeepAlive(ctx, lease))
-	events, next, err := c.Watch(ctx, "", 3, time.Millisecond)
+	events, next, err := c.Watch(ctx, "", store.Position{Revision: 3}, time.Millisecond)
 	require.NoError(t, err)
 	require.Equal(t, s.events, events)
-	require.Equal(t, store.Revision(12), next)
+	require.Equal(t, store.Position{Era: 2, Revision: 12}, next)
 }
 
 func TestFailuresKeepFaultAndEffect(t *testing.T) {
@@ -82,7 +82,7 @@
 			want := &store.Error{Op: "compare-and-swap", Key: "a", Fault: fault, Effect: effect,
 				Current: store.Entry{Key: "a", Value: []byte("x"), Modified: 5}}
 			c := serve(t, Handler(&scriptedStore{err: want}))
-			_, err := c.CompareAndSwap(context.Background(), "a", 3, []byte("y"), 0)
+			_, err := c.CompareAndSwap(context.Background(), "a", store.Position{Revision: 3}, []byte("y"), 0)
 			var got *store.Error
 			require.ErrorAs(t, err, &got)
 			require.Equal(t, want, got)
@@ -118,7 +118,7 @@
 func requireEffect(t *testing.T, c *Client, wantWrite store.Effect) {
 	t.Helper()
 	var failure *store.Error
-	_, err := c.CompareAndSwap(context.Background(), "a", 0, []byte("x"), 0)
+	_, err := c.CompareAndSwap(context.Background(), "a", store.Position{Revision: 0}, []byte("x"), 0)
 	require.ErrorAs(t, err, &failure)
 	require.Equal(t, wantWrite, failure.Effect)
 	_, err = c.Grant(context.Background(), time.Second)
--- a/internal/store/httpstore/messages.go
+++ b/internal/store/httpstore/messages.go
@@ -39,7 +39,7 @@
 
 type casRequest struct {
 	Key    string         `json:"key"`
-	Expect store.Revision `json:"expect"`
+	Expect store.Position `json:"expect"`
 	// Value is null for a deletion.
 	Value []byte        `json:"value"`
 	Lease store.LeaseID `json:"lease"`
@@ -61,13 +61,13 @@
 
 type watchRequest struct {
 	Prefix string         `json:"prefix"`
-	After  store.Revision `json:"after"`
+	After  store.Position `json:"after"`
 	Wait   time.Duration  `json:"wait_ns"`
 }
 
 type watchResponse struct {
 	Events []store.Event  `json:"events"`
-	Next   store.Revision `json:"next"`
+	Next   store.Position `json:"next"`
 }
 
 type errorBody struct {
@@ -83,7 +83,7 @@
 	switch f {
 	case store.FaultConflict:
 		return http.StatusConflict
-	case store.FaultCompacted:
+	case store.FaultCompacted, store.FaultRestored:
 		return http.StatusGone
 	case store.FaultLease:
 		return http.StatusPreconditionFailed
--- a/internal/store/memstore/memstore.go
+++ b/internal/store/memstore/memstore.go
@@ -1,6 +1,6 @@
 // Package memstore implements store.Store in memory with the semantics of the
-// platform's key-value service: compare-and-swap, leases, watches and a bounded
-// history of events. Time comes from a Clock, so that tests can control it. Tests
+// platform's key-value service: compare-and-swap, leases, watches, a bounded history
+// of events and restores from a copy. Time comes from a Clock, so that tests can control it. Tests
 // use a store directly, and the platform stand-in serves it over HTTP.
 package memstore
 
@@ -40,7 +40,9 @@
 	clock   Clock
 	history int
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// era counts the restores.
+	era      store.Era
 	revision store.Revision
 	// compacted is the revision up to which events have been discarded.
 	compacted store.Revision
@@ -105,17 +107,18 @@
 	return s.read(key), nil
 }
 
-// read returns a copy of an entry. If the key does not exist, only Key is set.
+// read returns a copy of an entry. If the key does not exist, only Key and Era are set.
 func (s *Store) read(key string) store.Entry {
 	e, ok := s.entries[key]
 	if !ok {
-		return store.Entry{Key: key}
+		return store.Entry{Key: key, Era: s.era}
 	}
-	return copyEntry(e.Entry)
+	return s.copyEntry(e.Entry)
 }
 
-func copyEntry(e store.Entry) store.Entry {
-	e.Value = slices.Clone(e.Value)
+// copyEntry returns a copy of an entry that was read in the current era.
+func (s *Store) copyEntry(e store.Entry) store.Entry {
+	e.Value, e.Era = slices.Clone(e.Value), s.era
 	return e
 }
 
@@ -131,7 +134,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stats.Reads++
-	page := store.Page{At: s.revision}
+	page := store.Page{At: s.revision, Era: s.era}
 	size := 0
 	for _, key := range s.keys[s.firstKey(prefix, after):] {
 		if !strings.HasPrefix(key, prefix) {
@@ -144,7 +147,7 @@
 			break
 		}
 		size += len(e.Value)
-		page.Entries = append(page.Entries, copyEntry(e))
+		page.Entries = append(page.Entries, s.copyEntry(e))
 	}
 	return page, nil
 }
@@ -164,7 +167,7 @@
 }
 
 // CompareAndSwap writes or deletes a key if its last write is the expected one.
-func (s *Store) CompareAndSwap(ctx context.Context, key string, expect store.Revision, value []byte, id store.LeaseID) (store.Entry, error) {
+func (s *Store) CompareAndSwap(ctx context.Context, key string, expect store.Position, value []byte, id store.LeaseID) (store.Entry, error) {
 	const op = "compare-and-swap"
 	if err := ctx.Err(); err != nil {
 		return store.Entry{}, unavailable(op, key, err)
@@ -176,16 +179,15 @@
 	defer s.mu.Unlock()
 	s.stats.Writes++
 	s.expire()
-	current := s.entries[key]
-	if current.Modified != expect {
-		return store.Entry{}, &store.Error{Op: op, Key: key, Fault: store.FaultConflict, Current: s.read(key)}
+	if current := s.read(key); current.Position() != expect {
+		return store.Entry{}, &store.Error{Op: op, Key: key, Fault: store.FaultConflict, Current: current}
 	}
 	if id != 0 && s.leases[id] == nil {
 		return store.Entry{}, &store.Error{Op: op, Key: key, Fault: store.FaultLease}
 	}
 	if value == nil {
 		s.remove(key)
-		return store.Entry{Key: key}, nil
+		return store.Entry{Key: key, Era: s.era}, nil
 	}
 	return s.write(key, value, id), nil
 }
@@ -207,7 +209,7 @@
 		s.leases[id].keys[key] = struct{}{}
 	}
 	s.record(store.Event{Entry: e})
-	return copyEntry(e)
+	return s.copyEntry(e)
 }
 
 // remove deletes a key if it exists.
@@ -236,6 +238,11 @@
 	if len(s.events) > s.history {
 		s.compact(s.events[len(s.events)-s.history-1].Entry.Modified)
 	}
+	s.notify()
+}
+
+// notify wakes waiting watches.
+func (s *Store) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
--- a/internal/store/memstore/memstore_test.go
+++ b/internal/store/memstore/memstore_test.go
@@ -31,7 +31,7 @@
 	return New(clock, 8), clock
 }
 
-func put(t *testing.T, s *Store, key string, expect store.Revision, value string) store.Entry {
+func put(t *testing.T, s *Store, key string, expect store.Position, value string) store.Entry {
 	t.Helper()
 	e, err := s.CompareAndSwap(ctx, key, expect, []byte(value), 0)
 	require.NoError(t, err)
@@ -49,24 +49,24 @@
 
 func TestCompareAndSwap(t *testing.T) {
 	s, _ := newStore()
-	first := put(t, s, "a", 0, "1")
-	_, err := s.CompareAndSwap(ctx, "a", 0, []byte("2"), 0)
+	first := put(t, s, "a", store.Position{}, "1")
+	_, err := s.CompareAndSwap(ctx, "a", store.Position{}, []byte("2"), 0)
 	require.Equal(t, "1", string(requireFault(t, err, store.FaultConflict).Current.Value))
-	second := put(t, s, "a", first.Modified, "2")
+	second := put(t, s, "a", first.Position(), "2")
 	require.Greater(t, second.Modified, first.Modified)
-	_, err = s.CompareAndSwap(ctx, "a", second.Modified, nil, 0)
+	_, err = s.CompareAndSwap(ctx, "a", second.Position(), nil, 0)
 	require.NoError(t, err)
 	e, err := s.Get(ctx, "a")
 	require.NoError(t, err)
 	require.Zero(t, e.Modified)
-	_, err = s.CompareAndSwap(ctx, "a", 0, make([]byte, store.MaxValue+1), 0)
+	_, err = s.CompareAndSwap(ctx, "a", store.Position{}, make([]byte, store.MaxValue+1), 0)
 	requireFault(t, err, store.FaultTooLarge)
 }
 
 func TestCallersDoNotShareValues(t *testing.T) {
 	s, _ := newStore()
 	value := []byte("abc")
-	e, err := s.CompareAndSwap(ctx, "a", 0, value, 0)
+	e, err := s.CompareAndSwap(ctx, "a", store.Position{}, value, 0)
 	require.NoError(t, err)
 	value[0], e.Value[1] = 'x', 'x'
 	e, _ = s.Get(ctx, "a")
@@ -76,7 +76,7 @@
 func TestListContinuesAfterKey(t *testing.T) {
 	s, _ := newStore()
 	for _, k := range []string{"b/3", "a/1", "b/1", "c/1", "b/2"} {
-		put(t, s, k, 0, k)
+		put(t, s, k, store.Position{}, k)
 	}
 	page, err := s.List(ctx, "b/", "", 2)
 	require.NoError(t, err)
@@ -93,7 +93,7 @@
 	s, clock := newStore()
 	id, err := s.Grant(ctx, 10*time.Second)
 	require.NoError(t, err)
-	_, err = s.CompareAndSwap(ctx, "held", 0, []byte("x"), id)
+	_, err = s.CompareAndSwap(ctx, "held", store.Position{}, []byte("x"), id)
 	require.NoError(t, err)
 	clock.Advance(9 * time.Second)
 	require.NoError(t, s.KeepAlive(ctx, id))
@@ -104,9 +104,9 @@
 	e, _ = s.Get(ctx, "held")
 	require.Zero(t, e.Modified)
 	requireFault(t, s.KeepAlive(ctx, id), store.FaultLease)
-	_, err = s.CompareAndSwap(ctx, "held", 0, []byte("x"), id)
+	_, err = s.CompareAndSwap(ctx, "held", store.Position{}, []byte("x"), id)
 	requireFault(t, err, store.FaultLease)
-	events, _, err := s.Watch(ctx, "held", 1, 0)
+	events, _, err := s.Watch(ctx, "held", store.Position{Revision: 1}, 0)
 	require.NoError(t, err)
 	require.True(t, events[0].Deleted)
 	require.Zero(t, clock.PendingTimers())
@@ -116,7 +116,7 @@
 	s, clock := newStore()
 	id, err := s.Grant(ctx, time.Minute)
 	require.NoError(t, err)
-	_, err = s.CompareAndSwap(ctx, "held", 0, []byte("x"), id)
+	_, err = s.CompareAndSwap(ctx, "held", store.Position{}, []byte("x"), id)
 	require.NoError(t, err)
 	require.True(t, s.ExpireLease(id))
 	require.False(t, s.ExpireLease(id))
@@ -130,9 +130,9 @@
 	s, clock := newStore()
 	id, err := s.Grant(ctx, time.Second)
 	require.NoError(t, err)
-	e, err := s.CompareAndSwap(ctx, "k", 0, []byte("x"), id)
+	e, err := s.CompareAndSwap(ctx, "k", store.Position{}, []byte("x"), id)
 	require.NoError(t, err)
-	put(t, s, "k", e.Modified, "y")
+	put(t, s, "k", e.Position(), "y")
 	clock.Advance(time.Minute)
 	e, _ = s.Get(ctx, "k")
 	require.Equal(t, "y", string(e.Value))
@@ -140,16 +140,16 @@
 
 func TestWatch(t *testing.T) {
 	s, clock := newStore()
-	put(t, s, "a/1", 0, "1")
-	put(t, s, "b/1", 0, "1")
-	events, at, err := s.Watch(ctx, "a/", 0, time.Minute)
+	put(t, s, "a/1", store.Position{}, "1")
+	put(t, s, "b/1", store.Position{}, "1")
+	events, at, err := s.Watch(ctx, "a/", store.Position{}, time.Minute)
 	require.NoError(t, err)
 	require.Len(t, events, 1)
-	require.Equal(t, s.Revision(), at)
+	require.Equal(t, store.Position{Revision: s.Revision()}, at)
 
 	type result struct {
 		events []store.Event
-		at     store.Revision
+		at     store.Position
 		err    error
 	}
 	results := make(chan result, 1)
@@ -160,8 +160,8 @@
 	waiting := func() bool { return s.Stats().Waiting == 1 && clock.PendingTimers() == 1 }
 	go wait(ctx)
 	require.Eventually(t, waiting, time.Minute, time.Millisecond)
-	put(t, s, "b/2", 0, "1")
-	put(t, s, "a/2", 0, "1")
+	put(t, s, "b/2", store.Position{}, "1")
+	put(t, s, "a/2", store.Position{}, "1")
 	got := <-results
 	require.NoError(t, got.err)
 	require.Equal(t, "a/2", got.events[0].Entry.Key)
@@ -183,17 +183,17 @@
 func TestWatchFromCompactedRevision(t *testing.T) {
 	s, _ := newStore()
 	for i := range 12 {
-		put(t, s, fmt.Sprint("k", i), 0, "x")
+		put(t, s, fmt.Sprint("k", i), store.Position{}, "x")
 	}
-	_, _, err := s.Watch(ctx, "", 3, 0)
+	_, _, err := s.Watch(ctx, "", store.Position{Revision: 3}, 0)
 	requireFault(t, err, store.FaultCompacted)
-	events, _, err := s.Watch(ctx, "", 4, 0)
+	events, _, err := s.Watch(ctx, "", store.Position{Revision: 4}, 0)
 	require.NoError(t, err)
 	require.Len(t, events, 8)
 	s.Compact(10)
-	_, _, err = s.Watch(ctx, "", 9, 0)
+	_, _, err = s.Watch(ctx, "", store.Position{Revision: 9}, 0)
 	requireFault(t, err, store.FaultCompacted)
-	_, _, err = s.Watch(ctx, "", 13, 0)
+	_, _, err = s.Watch(ctx, "", store.Position{Revision: 13}, 0)
 	requireFault(t, err, store.FaultCompacted)
 }
 
@@ -201,7 +201,7 @@
 	s, _ := newStore()
 	ended, cancel := context.WithCancel(ctx)
 	cancel()
-	_, err := s.CompareAndSwap(ended, "a", 0, []byte("1"), 0)
+	_, err := s.CompareAndSwap(ended, "a", store.Position{}, []byte("1"), 0)
 	requireFault(t, err, store.FaultUnavailable)
 	require.Zero(t, s.Revision())
 }
@@ -212,13 +212,13 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := New(NewManualClock(time.Unix(0, 0)), 1000)
 		copied := map[string]string{}
-		last := store.Revision(0)
+		var last store.Position
 		for range rapid.IntRange(1, 60).Draw(t, "writes") {
 			key := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "key")
 			current, err := s.Get(ctx, key)
 			require.NoError(t, err)
 			value := rapid.SampledFrom([][]byte{nil, []byte("1"), []byte("2")}).Draw(t, "value")
-			_, err = s.CompareAndSwap(ctx, key, current.Modified, value, 0)
+			_, err = s.CompareAndSwap(ctx, key, current.Position(), value, 0)
 			require.NoError(t, err)
 			if rapid.Bool().Draw(t, "skip") {
 				continue
@@ -226,8 +226,8 @@
 			events, at, err := s.Watch(ctx, "", last, 0)
 			require.NoError(t, err)
 			for _, e := range events {
-				require.Greater(t, e.Entry.Modified, last)
-				last = e.Entry.Modified
+				require.Greater(t, e.Entry.Modified, last.Revision)
+				last.Revision = e.Entry.Modified
 				if e.Deleted {
 					delete(copied, e.Entry.Key)
 				} else {
@@ -245,3 +245,45 @@
 		}
 	})
 }
+
+// A restored store lacks the writes since the copy and gives their revisions out again. Neither a
+// watch nor a condition of the era before may refer to them.
+func TestRestoreBeginsNewEra(t *testing.T) {
+	s, _ := newStore()
+	put(t, s, "a", store.Position{}, "1")
+	before := s.Copy()
+	lost := put(t, s, "b", store.Position{}, "lost")
+	id, err := s.Grant(ctx, time.Second)
+	require.NoError(t, err)
+	s.Restore(before)
+	e, err := s.Get(ctx, "b")
+	require.NoError(t, err)
+	require.Zero(t, e.Modified)
+	requireFault(t, s.KeepAlive(ctx, id), store.FaultLease)
+
+	again := put(t, s, "b", store.Position{}, "again")
+	require.Equal(t, lost.Modified, again.Modified)
+	_, err = s.CompareAndSwap(ctx, "b", lost.Position(), []byte("2"), 0)
+	require.Equal(t, "again", string(requireFault(t, err, store.FaultConflict).Current.Value))
+	_, _, err = s.Watch(ctx, "", lost.Position(), 0)
+	requireFault(t, err, store.FaultRestored)
+	page, err := s.List(ctx, "", "", 0)
+	require.NoError(t, err)
+	require.Equal(t, again.Position(), page.Position())
+	put(t, s, "b", again.Position(), "2")
+}
+
+func TestWaitingWatchEndsWithRestore(t *testing.T) {
+	s, _ := newStore()
+	put(t, s, "a", store.Position{}, "1")
+	before := s.Copy()
+	at := put(t, s, "b", store.Position{}, "lost").Position()
+	result := make(chan error, 1)
+	go func() {
+		_, _, err := s.Watch(ctx, "", at, time.Minute)
+		result <- err
+	}()
+	require.Eventually(t, func() bool { return s.Stats().Waiting == 1 }, time.Minute, time.Millisecond)
+	s.Restore(before)
+	requireFault(t, <-result, store.FaultRestored)
+}
--- a/internal/store/memstore/watch.go
+++ b/internal/store/memstore/watch.go
@@ -8,10 +8,11 @@
 	"mimosashore.example/mimosashore/internal/store"
 )
 
-// Watch returns the events after a revision, or waits for the first one. It fails
-// with FaultCompacted if the events after the revision have been discarded, or if
-// the revision is later than the store's, which happens after a restore.
-func (s *Store) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
+// Watch returns the events after a position, or waits for the first one. It fails
+// with FaultRestored if the store is in another era, and with FaultCompacted if the
+// events after the revision have been discarded or the revision is later than the
+// store's.
+func (s *Store) Watch(ctx context.Context, prefix string, after store.Position, wait time.Duration) ([]store.Event, store.Position, error) {
 	timedOut := make(chan struct{})
 	stop := s.clock.AfterFunc(wait, func() { close(timedOut) })
 	defer stop()
@@ -44,23 +45,26 @@
 
 // poll returns the events after a revision, the revision to continue from and a
 // channel that is closed by the next write.
-func (s *Store) poll(prefix string, after store.Revision) ([]store.Event, store.Revision, <-chan struct{}, error) {
+func (s *Store) poll(prefix string, after store.Position) ([]store.Event, store.Position, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.compacted || after > s.revision {
+	if after.Era != s.era {
+		return nil, after, nil, &store.Error{Op: "watch", Key: prefix, Fault: store.FaultRestored}
+	}
+	if after.Revision < s.compacted || after.Revision > s.revision {
 		return nil, after, nil, &store.Error{Op: "watch", Key: prefix, Fault: store.FaultCompacted}
 	}
 	var found []store.Event
-	at := s.revision
-	for _, e := range s.events[s.eventAfter(after):] {
+	at := store.Position{Era: s.era, Revision: s.revision}
+	for _, e := range s.events[s.eventAfter(after.Revision):] {
 		if !strings.HasPrefix(e.Entry.Key, prefix) {
 			continue
 		}
 		if len(found) == MaxEvents {
-			at = found[len(found)-1].Entry.Modified
+			at.Revision = found[len(found)-1].Entry.Modified
 			break
 		}
-		found = append(found, store.Event{Entry: copyEntry(e.Entry), Deleted: e.Deleted})
+		found = append(found, store.Event{Entry: s.copyEntry(e.Entry), Deleted: e.Deleted})
 	}
 	return found, at, s.changed, nil
 }
