dsr: what is missing right after a restore or a start proves nothing

Cause: a registration that is missing was taken for proof that the upstream has left: at once for one that drained, after a full read for a token that a started host did not know, after 2.2 s otherwise. After a restore, and after an outage in which leases lapsed, upstreams write their registrations again within about two seconds, and batched watches deliver that later. Change: registrations count as complete 3 s after the host started, or the store came back or was restored. Until then no upstream is gone and no token unknown. An upstream whose registration the store lost stays in use like any other. An incarnation that left after draining stays draining if a copy brings its entry back. The fixture of the core's tests is a host that has run for longer than that; the check after an outage is stricter (3 s instead of 2.2 s). Conclusion: absence is evidence only once those who would be present had the time to say so.

--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -54,16 +54,18 @@
 // until upstreams have had the time to write their registrations again.
 func (c *Core) enterEra(now time.Duration, ch *directory.Change) {
 	if c.complete {
+		c.storeSettledAt = max(c.storeSettledAt, now+settleTime)
+		clear(c.unknownTokens)
 		c.emit(Record{
 			Event: "store was restored from a copy", Era: uint64(ch.Era), Revision: uint64(ch.Revision), Version: c.version,
-			HoldsFor: lapseGrace, Considered: len(ch.Upstreams), Open: len(c.byKey),
+			HoldsFor: settleTime, Considered: len(ch.Upstreams), Open: len(c.byKey),
 		})
 	}
 	c.era = ch.Era
 }
 
 // keepLost keeps an upstream whose registration the store lost in a restore. That says nothing
-// about the upstream, which remains in use until lapseGrace is over.
+// about the upstream, which remains in use until settleTime is over.
 func (c *Core) keepLost(now time.Duration, key string) {
 	u := c.byKey[key]
 	if u == nil || u.removeAt != 0 || u.Era >= c.era {
@@ -90,21 +92,23 @@
 }
 
 // removeRegistration handles the removal of a registration. An upstream that was draining is gone
-// at once. Any other stays for lapseGrace, since registrations also lapse while the store is down.
+// at once, unless the store has just returned. Any other stays for lapseGrace, since registrations
+// also lapse while the store is down.
 func (c *Core) removeRegistration(now time.Duration, u *upstream) {
 	if u.gone || u.removeAt != 0 {
 		return
 	}
-	if u.Draining {
+	if u.Draining && now >= c.storeSettledAt {
 		c.markGone(now, u, "left after draining")
 		return
 	}
 	c.letLapse(now, u, "")
 }
 
-// letLapse starts the grace period of an upstream without a registration.
+// letLapse starts the grace period of an upstream without a registration. It lasts until the
+// registrations of the store count as complete.
 func (c *Core) letLapse(now time.Duration, u *upstream, cause string) {
-	u.removeAt = now + lapseGrace
+	u.removeAt = max(now+lapseGrace, c.storeSettledAt)
 	c.lapsedList = append(c.lapsedList, u)
 	c.emit(Record{
 		Event: "registration lapsed", Upstream: u.Key, Service: u.Service, Detail: cause, Era: uint64(u.Era), Revision: uint64(u.Revision),
@@ -152,6 +156,11 @@
 	if u != nil {
 		c.markGone(now, u, "restarted")
 	}
+	// An incarnation that has left after draining doesn't come back: the entry is from the copy of
+	// a restored store.
+	if known := c.tokens[TokenOf(d.ID, d.Incarnation)]; known != nil && known.gone && known.Key == d.Key && known.Draining && known.Era < d.Era {
+		d.Draining = true
+	}
 	n := &upstream{Upstream: *d, token: TokenOf(d.ID, d.Incarnation), zone: c.zoneOf(d.Zone), service: c.serviceOf(d.Service), rank: xxhash.Sum64String(d.Key)}
 	if d.SlowStart > 0 {
 		n.slowStartUntil = now + d.SlowStart
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -61,10 +61,12 @@
 	// complete is set once a full read of the directory has been applied.
 	complete bool
 	// storeAnsweredAt is when the store last answered this host or a host that sends it updates.
-	// storeDown is set while the store does not answer this host.
+	// storeReached is set once it has answered this host, storeDown while it does not.
 	storeAnsweredAt time.Duration
+	storeReached    bool
 	storeDown       bool
-	// storeSettledAt is when registrations count as complete again after an outage of the store.
+	// storeSettledAt is when registrations count as complete after the start of the host, and after
+	// an outage or a restore of the store.
 	storeSettledAt time.Duration
 	// fullReadAt is when the last full read was requested from the store; zero if the last one came
 	// from another host.
@@ -122,11 +124,13 @@
 
 // StoreAnswered records an answer of the store.
 func (c *Core) StoreAnswered(now time.Duration) {
-	c.storeAnsweredAt = now
+	if c.storeDown || !c.storeReached {
+		c.storeSettledAt = now + settleTime
+	}
+	c.storeAnsweredAt, c.storeReached = now, true
 	if c.storeDown {
 		c.storeDown = false
-		c.storeSettledAt = now + lapseGrace
-		c.emit(Record{Event: "store answers again", HoldsFor: lapseGrace})
+		c.emit(Record{Event: "store answers again", HoldsFor: settleTime})
 	}
 }
 
--- a/internal/dsr/fixture_test.go
+++ b/internal/dsr/fixture_test.go
@@ -93,8 +93,8 @@
 	}
 }
 
-// newFixture returns a core in zone a, and a service with two upstreams in each of the zones a, b
-// and c.
+// newFixture returns a core in zone a that has run for longer than settleTime, and a service with
+// two upstreams in each of the zones a, b and c.
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{t: t, core: New("a", testFormat{}, 0), now: time.Second, rev: 10}
 	ch := &directory.Change{Full: true, RequestedAt: f.now, Revision: f.rev, Configuration: configuration(1)}
@@ -107,6 +107,8 @@
 	f.core.StoreAnswered(f.now)
 	f.core.Apply(f.now, ch)
 	require.True(t, f.core.Ready())
+	f.now += settleTime
+	f.core.StoreAnswered(f.now)
 	return f
 }
 
