--- a/internal/dsrhost/feed_test.go
+++ b/internal/dsrhost/feed_test.go
@@ -39,7 +39,11 @@
 	err    error
 }
 
-func (s *scriptedStore) Get(context.Context, string) (store.Entry, error) { return s.config, nil }
+func (s *scriptedStore) Get(context.Context, string) (store.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.config, nil
+}
 
 func (s *scriptedStore) List(_ context.Context, _, after string, _ int) (store.Page, error) {
 	s.mu.Lock()
@@ -209,3 +213,92 @@
 	f.recordAnswer()
 	require.False(t, f.needsPeers())
 }
+
+// Guards against a watch that goes on in a restored store, and against a directory of the copy that
+// replaces a newer configuration or takes a registration away.
+func TestFeedKeepsWhatRestoredStoreLost(t *testing.T) {
+	s := &scriptedStore{
+		pages:  []store.Page{{At: 20, Era: 1, Entries: []store.Entry{inEra(entry("up/a", "orders", 5), 1), inEra(entry("up/b", "orders", 20), 1)}}},
+		config: inEra(entry("config", "12", 19), 1),
+		watches: []watchAnswer{
+			{err: &store.Error{Fault: store.FaultRestored}},
+			{at: 21, era: 2, events: []store.Event{{Entry: inEra(entry("config", "15", 21), 2)}}},
+		},
+	}
+	f, events := runFeed(t, s)
+	require.EqualValues(t, 12, (<-events).change.Configuration.Version)
+	// The feed pauses for retryMin before the full read.
+	s.mu.Lock()
+	s.pages = []store.Page{{At: 18, Era: 2, Entries: []store.Entry{inEra(entry("up/a", "orders", 5), 2)}}}
+	s.config = inEra(entry("config", "9", 18), 2)
+	s.mu.Unlock()
+	second := (<-events).change
+	require.True(t, second.Full)
+	require.Equal(t, store.Position{Era: 2, Revision: 18}, second.Position())
+	require.EqualValues(t, 12, second.Configuration.Version)
+	require.ElementsMatch(t, []string{"up/a", "up/b"}, upstreamKeys(second))
+	third := (<-events).change
+	require.EqualValues(t, 15, third.Configuration.Version)
+	require.Equal(t, 1, f.replica.Kept())
+}
+
+// Guards against a directory whose pages are from both sides of a restore.
+func TestFeedRepeatsListingDuringRestore(t *testing.T) {
+	s := &scriptedStore{
+		pages: []store.Page{
+			{At: 20, Era: 1, More: true, Entries: []store.Entry{inEra(entry("up/a", "orders", 5), 1)}},
+			{At: 18, Era: 2, Entries: []store.Entry{inEra(entry("up/b", "orders", 6), 2)}},
+		},
+		config: inEra(entry("config", "7", 3), 2),
+	}
+	_, events := runFeed(t, s)
+	require.Eventually(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.lists > 1
+	}, 5*time.Second, time.Millisecond)
+	s.mu.Lock()
+	s.pages[0].Era, s.pages[0].At, s.pages[0].Entries[0].Era = 2, 18, 2
+	s.mu.Unlock()
+	require.ElementsMatch(t, []string{"up/a", "up/b"}, upstreamKeys((<-events).change))
+}
+
+func inEra(e store.Entry, era store.Era) store.Entry {
+	e.Era = era
+	return e
+}
+
+// Two registrations of one upstream are ordered by what its process says, not by the store.
+func TestResolveOrdersByWriter(t *testing.T) {
+	layout := testLayout
+	layout.DecodeUpstream = func(key string, value []byte, _ store.Revision) (directory.Upstream, error) {
+		u := directory.Upstream{Key: key}
+		err := json.Unmarshal(value, &u)
+		return u, err
+	}
+	tr := &translator{layout: layout, log: logging.ForComponent(zap.NewNop(), "directory")}
+	registration := func(era store.Era, text string) store.Entry { return inEra(entry("up/a", text, 10), era) }
+	for _, c := range []struct{ earlier, later, want, what string }{
+		{`{"Incarnation":1,"Sequence":5}`, `{"Incarnation":2,"Sequence":1}`, "later", "restarted since"},
+		{`{"Incarnation":2,"Sequence":1}`, `{"Incarnation":1,"Sequence":9}`, "earlier", "the copy has the process before"},
+		{`{"Incarnation":1,"Sequence":5,"Draining":true}`, `{"Incarnation":1,"Sequence":6}`, "later", "written again"},
+		{`{"Incarnation":1,"Sequence":5}`, `{"Incarnation":1,"Sequence":5}`, "later", "the same"},
+		{`{"Incarnation":1,"Sequence":5,"Draining":true}`, `{"Incarnation":1,"Sequence":4}`, "mixed", "the copy has an earlier write"},
+		{`{"Incarnation":1,"Sequence":5}`, `{`, "earlier", "can't be read"},
+		{`{`, `{"Incarnation":1,"Sequence":5}`, "later", "could not be read before"},
+	} {
+		earlier, later := registration(1, c.earlier), registration(2, c.later)
+		mixed := later
+		mixed.Value = earlier.Value
+		want := map[string]store.Entry{"earlier": earlier, "later": later, "mixed": mixed}[c.want]
+		require.Equal(t, want, tr.Resolve(earlier, later), c.what)
+	}
+	config := func(era store.Era, version string) store.Entry {
+		return inEra(entry("config", version, 10), era)
+	}
+	require.Equal(t, config(1, "12"), tr.Resolve(config(1, "12"), config(2, "9")))
+	require.Equal(t, config(1, "12"), tr.Resolve(config(1, "12"), config(2, "{")))
+	require.Equal(t, config(2, "12"), tr.Resolve(config(1, "12"), config(2, "12")))
+	require.False(t, tr.Expires("config"))
+	require.True(t, tr.Expires("up/a"))
+}
