accept: revisions and ids of a lost acceptance are not assigned again

Seen by operators and callers: after a restore, an acceptance by another operator succeeds and is not in force, since hosts hold the lost acceptance of the same revision and refuse this one as conflicting; ids of upstreams in use are allocated to others, so that identifiers of flows name two of them; and an acceptance overwrites one that it has never read. Cause: the same class on the product's own path: the next revision and the next id follow from what the store has, and a base revision, 'unchanged' and a condition take the same number for the same state. Evidence: five new tests; four failed on the code before, the fifth (unchanged) was written with the change.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -11,7 +11,7 @@
 //	history/<document>/<revision>        earlier revisions of a document
 //	merged/<document>/<change id>        declarations of a merged acceptance
 //	claim/<address>                      the document that uses an address
-//	counter                              the last allocated id
+//	counter                              the last allocated id, and the era of the store
 //
 // No step uses a lease. Every write is conditional on the last write of its key,
 // so an operator's tool can be paused for any time without overwriting a newer
@@ -37,6 +37,9 @@
 	// further failure, up to maxBackoff.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 5 * time.Second
+	// restoreRevisionGap is the number of revisions of a document that one era of the
+	// store can use up.
+	restoreRevisionGap = 1 << 20
 	// DefaultHistoryLimit is the default number of earlier revisions to keep of each
 	// document. Acceptor does not apply it; callers set it as HistoryLimit.
 	DefaultHistoryLimit = 16
@@ -80,8 +83,8 @@
 	// Retry is set if a change with this id may have been accepted before.
 	Retry bool
 	// AboveRevision is a revision that the new one must exceed; zero means no such
-	// bound. It is needed after the store was restored to an earlier revision than
-	// the hosts have.
+	// bound. It is needed after a store that does not count its restores was restored to
+	// an earlier revision than the hosts have.
 	AboveRevision uint64
 	Proposal      Proposal
 }
--- a/internal/accept/attempt.go
+++ b/internal/accept/attempt.go
@@ -22,8 +22,8 @@
 	if err != nil {
 		return Result{}, err
 	}
-	next := t.nextDocument(current, content)
-	if t.change.AboveRevision == 0 && sameContent(current, next) {
+	next := t.nextDocument(current, entry.Era, content)
+	if t.isUnchanged(current, entry.Era, next) {
 		return Result{Outcome: Unchanged, Document: current, Merged: content.Merged}, nil
 	}
 	obsolete, err := t.prepare(ctx, current, entry, next)
@@ -41,6 +41,13 @@
 	return Result{Outcome: Accepted, Document: next, Previous: current, Merged: content.Merged}, nil
 }
 
+// isUnchanged reports whether the stored document already has the next content. A stored
+// document of an earlier era of the store is written again all the same: hosts may have a
+// later one that the store lost.
+func (t *acceptance) isUnchanged(current *config.Document, era store.Era, next *config.Document) bool {
+	return t.change.AboveRevision == 0 && sameContent(current, next) && current.Revision >= firstRevision(era)
+}
+
 // findAccepted returns the revision of the document that has the id of the change,
 // or nil. It searches the history only if an earlier attempt may have taken effect.
 func (t *acceptance) findAccepted(ctx context.Context, current *config.Document) (*config.Document, error) {
@@ -95,12 +102,17 @@
 	return d, err
 }
 
-// nextDocument returns the next document with the given content. Its new objects have no
-// ids yet.
-func (t *acceptance) nextDocument(current *config.Document, c Content) *config.Document {
+// firstRevision returns the lowest revision of a document that is accepted in an era of
+// the store. It is above all revisions of earlier eras, which the store may have lost
+// while hosts still have them.
+func firstRevision(era store.Era) uint64 { return uint64(era)*restoreRevisionGap + 1 }
+
+// nextDocument returns the next document with the given content, accepted in an era of
+// the store. Its new objects have no ids yet.
+func (t *acceptance) nextDocument(current *config.Document, era store.Era, c Content) *config.Document {
 	next := &config.Document{
 		Name:       t.change.Name,
-		Revision:   t.change.AboveRevision + 1,
+		Revision:   max(t.change.AboveRevision+1, firstRevision(era)),
 		ChangeID:   t.change.ID,
 		Author:     t.change.Author,
 		AcceptedAt: t.Now().UnixMilli(),
--- a/internal/accept/claim.go
+++ b/internal/accept/claim.go
@@ -161,7 +161,7 @@
 	}
 	value := entry.Value
 	if d == nil {
-		tombstone := &config.Document{Name: holder.Document, Revision: 1, ChangeID: t.change.ID + "/superseded", Author: t.change.Author, Deleted: true}
+		tombstone := &config.Document{Name: holder.Document, Revision: firstRevision(entry.Era), ChangeID: t.change.ID + "/superseded", Author: t.change.Author, Deleted: true}
 		if value, err = tombstone.Encode(); err != nil {
 			return err
 		}
--- a/internal/accept/ids.go
+++ b/internal/accept/ids.go
@@ -15,12 +15,12 @@
 	"mimosashore.example/mimosashore/internal/store"
 )
 
-// IDCounterKey is the key of the last allocated id, stored as 8 bytes in big-endian
-// order.
+// IDCounterKey is the key of the last allocated id and the era of the store in which it
+// was allocated, each stored as 8 bytes in big-endian order. The era may be missing.
 const IDCounterKey = "counter"
 
-// restoreIDGap is the number of ids skipped after the store was restored, so that
-// ids allocated after the backup are not allocated again.
+// restoreIDGap is the number of ids skipped for each restore of the store, so that ids
+// allocated after the copy are not allocated again.
 const restoreIDGap = 1 << 20
 
 // upstreamIdentity identifies an upstream across revisions. An upstream keeps its id
@@ -105,17 +105,19 @@
 		if err != nil {
 			return idPool{}, err
 		}
-		last, err := decodeCounter(entry)
+		last, era, err := decodeCounter(entry)
 		if err != nil {
 			return idPool{}, err
 		}
-		if t.change.AboveRevision > 0 {
+		if entry.Era > era {
+			last += uint64(entry.Era-era) * restoreIDGap
+		} else if t.change.AboveRevision > 0 {
 			last += restoreIDGap
 		}
 		if last+count > math.MaxUint32 {
 			return idPool{}, &RefusedError{Name: t.change.Name, Reason: fmt.Sprintf("no ids are left: %d are needed above %d, the highest is %d", count, last, uint32(math.MaxUint32))}
 		}
-		value := binary.BigEndian.AppendUint64(nil, last+count)
+		value := binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, last+count), uint64(entry.Era))
 		_, err = t.Store.CompareAndSwap(ctx, IDCounterKey, entry.Position(), value, 0)
 		var failure *store.Error
 		if errors.As(err, &failure) && failure.Fault == store.FaultConflict {
@@ -126,14 +128,18 @@
 	return idPool{}, eris.Errorf("the id counter changed during each of %d attempts to advance it", maxAttempts)
 }
 
-func decodeCounter(e store.Entry) (uint64, error) {
-	if e.Modified == 0 {
-		return 0, nil
+// decodeCounter returns the last allocated id and the era in which it was allocated.
+func decodeCounter(e store.Entry) (uint64, store.Era, error) {
+	switch {
+	case e.Modified == 0:
+		return 0, 0, nil
+	case len(e.Value) == 8:
+		return binary.BigEndian.Uint64(e.Value), 0, nil
+	case len(e.Value) == 16:
+		return binary.BigEndian.Uint64(e.Value), store.Era(binary.BigEndian.Uint64(e.Value[8:])), nil
+	default:
+		return 0, 0, eris.Errorf("the store's id counter has %d bytes, not 8 or 16", len(e.Value))
 	}
-	if len(e.Value) != 8 {
-		return 0, eris.Errorf("the store's id counter has %d bytes, not 8", len(e.Value))
-	}
-	return binary.BigEndian.Uint64(e.Value), nil
 }
 
 // assignedIDs returns the ids of a document's account, of its services by name and of
--- a/internal/accept/preview.go
+++ b/internal/accept/preview.go
@@ -26,7 +26,7 @@
 // *RefusedError if the change would be refused.
 func (a *Acceptor) Preview(ctx context.Context, c Change) (Preview, error) {
 	t := &acceptance{Acceptor: a, change: c}
-	current, _, err := Read(ctx, a.Store, c.Name)
+	current, entry, err := Read(ctx, a.Store, c.Name)
 	if err != nil {
 		return Preview{}, err
 	}
@@ -35,8 +35,8 @@
 	if err != nil {
 		return p, err
 	}
-	p.Next, p.Merged = t.nextDocument(current, content), content.Merged
-	p.Unchanged = c.AboveRevision == 0 && sameContent(current, p.Next)
+	p.Next, p.Merged = t.nextDocument(current, entry.Era, content), content.Merged
+	p.Unchanged = t.isUnchanged(current, entry.Era, p.Next)
 	if p.Unchanged {
 		return p, nil
 	}
