spread: tests of a restored store that is ahead of the watches

Cause: the change of positions had no test on the product's own path. Change: a document written again below the revision that the watches had reached comes into force within 8 s, with 41 other documents.

--- a/internal/spread/session_test.go
+++ b/internal/spread/session_test.go
@@ -1,6 +1,7 @@
 package spread_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -100,6 +101,34 @@
 	s.check(t, "restored-store")
 }
 
+// The restored store is ahead of the revision that the watches reached before any host reads it
+// again. They must not go on from there: the write below would be missed.
+func TestRestoredStoreAheadOfWatches(t *testing.T) {
+	s := newSession(3, 1)
+	// The checks of single documents take long to come to the one in question.
+	for n := range 40 {
+		s.Store.Put(spreadrun.Account(fmt.Sprint("a", n), 1, "first"))
+	}
+	s.Store.Put(spreadrun.Account("grower", 1, "first"))
+	backup := s.Store.Backup()
+	s.StartAll()
+	s.Run(2 * time.Second)
+	put(s.Simulation, 2)
+	s.Run(3 * time.Second)
+	s.Store.Down = true
+	s.Run(time.Second)
+	s.Store.Restore(backup)
+	s.Store.Era++
+	put(s.Simulation, 1<<20+1)
+	for n := range uint64(4) {
+		s.Store.Put(spreadrun.Account("other", n+1, "other"))
+	}
+	s.Store.Down = false
+	s.Run(8 * time.Second)
+	require.True(t, s.AllHaveInForce(acct, 1<<20+1))
+	require.True(t, s.AllHaveInForce(config.AccountPrefix+"other", 4))
+}
+
 func TestSessionSilentWatch(t *testing.T) {
 	s := newSession(3, 1)
 	s.Store.Put(spreadrun.Account("grower", 1, "first"))
