--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -76,6 +76,11 @@
 	slots  []*slot
 	// storeUnavailable suspends heartbeats during a fault of the store.
 	storeUnavailable bool
+	// quietHeartbeats makes heartbeats write only what the store lacks, so that its revision
+	// rises slowly and a restored store stays below the revision that hosts had reached.
+	quietHeartbeats bool
+	// lastConfiguration is the newest configuration as written.
+	lastConfiguration map[string]any
 	// ordersMoved is set while the orders are routed to movedOrdersService.
 	ordersMoved bool
 }
@@ -158,7 +163,8 @@
 	o.record.mu.Lock()
 	o.record.configurations = append(o.record.configurations, c)
 	o.record.mu.Unlock()
-	o.store.Put(dsrworld.ConfigurationKey, dsrworld.Configuration(c.version, routes))
+	o.lastConfiguration = dsrworld.Configuration(c.version, routes)
+	o.store.Put(dsrworld.ConfigurationKey, o.lastConfiguration)
 	o.record.mu.Lock()
 	o.record.configurations[n].acknowledged = time.Now()
 	o.record.mu.Unlock()
@@ -178,7 +184,9 @@
 		for _, s := range o.slots {
 			if s.instance != nil && !o.storeUnavailable {
 				s.instance.Registration.Seq++
-				o.store.Put(s.instance.Key(), s.instance.Registration)
+				if !o.quietHeartbeats || !o.store.Holds(s.instance.Key(), s.instance.Registration.State) {
+					o.store.Put(s.instance.Key(), s.instance.Registration)
+				}
 			}
 		}
 		o.mu.Unlock()
@@ -327,6 +335,53 @@
 	o.mu.Unlock()
 }
 
+// restoreStore takes a copy of the store, confirms two more configurations, and brings the store
+// back from the copy. The newest of what the operator wrote since is written again at once,
+// registrations with the next heartbeats within reregisterWithin, and entries of upstreams that
+// ended lapse.
+func (o *operator) restoreStore(ctx context.Context, duration time.Duration) {
+	before := o.store.Copy()
+	o.configure(false)
+	sleep(ctx, duration/4)
+	o.configure(false)
+	sleep(ctx, duration/4)
+	o.mu.Lock()
+	o.storeUnavailable = true
+	o.store.SetDown(true)
+	o.mu.Unlock()
+	sleep(ctx, duration/4)
+	o.mu.Lock()
+	o.store.Restore(before)
+	o.store.SetDown(false)
+	o.mu.Unlock()
+	sleep(ctx, rand.N(reregisterWithin-heartbeatInterval))
+	o.mu.Lock()
+	o.storeUnavailable = false
+	o.store.Put(dsrworld.ConfigurationKey, o.lastConfiguration)
+	o.mu.Unlock()
+	sleep(ctx, duration/4)
+	o.removeEnded()
+}
+
+// removeEnded removes the entries of upstreams that don't run any more.
+func (o *operator) removeEnded() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	running := make(map[string]bool)
+	for _, s := range o.slots {
+		if s.instance != nil {
+			running[s.instance.Key()] = true
+		}
+	}
+	o.record.mu.Lock()
+	defer o.record.mu.Unlock()
+	for _, u := range o.record.upstreams {
+		if !running[u.Key()] {
+			o.store.Remove(u.Key())
+		}
+	}
+}
+
 // putInvalidEntry writes an entry that is no valid registration, as another
 // writer of the store might.
 func (o *operator) putInvalidEntry(pick int) {
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -65,6 +65,9 @@
 // runPlatform executes a run on the platform path.
 func runPlatform(ctx context.Context, o Options, n *network, random *rand.Rand) (*Report, error) {
 	faults, length := newSchedule(random, o.Length, platformFaults)
+	if o.Restores {
+		faults = addRestores(o.Seed, faults)
+	}
 	e := &platformEnv{options: o, network: n, record: newRecord(), store: dsrworld.NewStore(), faultsStarted: time.Now()}
 	defer e.store.Close()
 	if err := e.build(random); err != nil {
@@ -101,6 +104,7 @@
 		e.deploy.applyWithin = applyRelaxed
 	}
 	e.operator = newOperator(e.network, e.store, e.record, e.deploy.zones)
+	e.operator.quietHeartbeats = e.options.Restores
 	e.operator.configure(false)
 	for _, s := range services {
 		for range slotsPerService {
--- a/internal/soak/platformfaults.go
+++ b/internal/soak/platformfaults.go
@@ -38,6 +38,9 @@
 	case storeDown, storeLapse:
 		defer e.record.beginDisruption("store", false)()
 		e.operator.failStore(ctx, f.duration, f.kind == storeLapse)
+	case storeRestore:
+		defer e.record.beginDisruption("store", false)()
+		e.operator.restoreStore(ctx, f.duration)
 	case storeCompact:
 		defer e.record.beginDisruption("store", false)()
 		e.store.SuspendWatches()
--- a/internal/soak/product.go
+++ b/internal/soak/product.go
@@ -86,6 +86,9 @@
 // runProduct executes a run on the product's own path.
 func runProduct(ctx context.Context, o Options, n *network, random *rand.Rand) (*Report, error) {
 	faults, length := newSchedule(random, o.Length, productFaults)
+	if o.Restores {
+		faults = addRestores(o.Seed, faults)
+	}
 	e := &productEnv{options: o, addrPrefix: n.prefix(), record: newRecord(), rate: initialRate}
 	defer e.close()
 	if err := e.start(ctx, random); err != nil {
@@ -191,9 +194,10 @@
 
 var acceptedRevision = regexp.MustCompile(`account/` + exampleAccount + `: .*revision (\d+)`)
 
-// accept submits the declarations with mimosactl and stores the accepted revision.
-func (e *productEnv) accept() error {
-	out, err := e.runMimosactl("accept", "--allow-cuts", e.path("declarations"))
+// accept submits the declarations with mimosactl and further options, and stores the
+// accepted revision.
+func (e *productEnv) accept(options ...string) error {
+	out, err := e.runMimosactl(append(append([]string{"accept", "--allow-cuts"}, options...), e.path("declarations"))...)
 	if err != nil {
 		return eris.Wrapf(err, "declarations were not accepted: %s", out)
 	}
--- a/internal/soak/productfaults.go
+++ b/internal/soak/productfaults.go
@@ -38,6 +38,8 @@
 		return e.storeFault(ctx, platform.Faults{StaleReads: true}, f.duration)
 	case storeSilentWatches:
 		return e.storeFault(ctx, platform.Faults{SilentWatch: true}, f.duration)
+	case storeRestore:
+		return e.restoreStore(ctx, f.duration)
 	case storeLink:
 		e.setLink(ctx, h, h.store, f)
 	case contactLink:
@@ -112,6 +114,33 @@
 	return call(http.MethodPut, e.url(adminPort)+"/faults", platform.Faults{})
 }
 
+// restoreStore restores the store from a copy that lacks the last accepted change, and then
+// has the declarations accepted again, as operators do.
+func (e *productEnv) restoreStore(ctx context.Context, duration time.Duration) error {
+	admin := e.url(adminPort)
+	e.accepting.Lock()
+	defer e.accepting.Unlock()
+	if err := call(http.MethodPost, admin+"/copy", nil); err != nil {
+		return err
+	}
+	if err := e.submitRequestRate(); err != nil {
+		return err
+	}
+	sleep(ctx, duration/2)
+	defer e.record.beginDisruption("store", false)()
+	if err := call(http.MethodPut, admin+"/faults", platform.Faults{Down: true}); err != nil {
+		return err
+	}
+	sleep(ctx, duration/2)
+	if err := call(http.MethodPost, admin+"/restore", nil); err != nil {
+		return err
+	}
+	if err := call(http.MethodPut, admin+"/faults", platform.Faults{}); err != nil {
+		return err
+	}
+	return e.accept("--replace")
+}
+
 func (e *productEnv) setLink(ctx context.Context, h *productHost, l *tcpLink, f fault) {
 	defer e.record.beginDisruption(h.key(), false)()
 	l.setMode(f.mode)
@@ -126,6 +155,11 @@
 func (e *productEnv) changeRequestRate() error {
 	e.accepting.Lock()
 	defer e.accepting.Unlock()
+	return e.submitRequestRate()
+}
+
+// submitRequestRate is changeRequestRate for a caller that holds e.accepting.
+func (e *productEnv) submitRequestRate() error {
 	e.rate++
 	path := filepath.Join(e.path("declarations"), "accounts", exampleAccount+".ini")
 	text, err := os.ReadFile(path)
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -27,6 +29,8 @@
 	// storeCompact suspends the events of watches, and then discards the history that
 	// the watches need to continue.
 	storeCompact faultKind = "store-forget"
+	// storeRestore takes the store down and brings it back from a copy.
+	storeRestore faultKind = "store-restore"
 	storeSlow    faultKind = "store-slow"
 	// storeStaleReads makes reads return the content from the start of the fault.
 	storeStaleReads faultKind = "store-old-reads"
@@ -107,6 +111,8 @@
 	// the faults before.
 	calmChangeDelay  = 500 * time.Millisecond
 	maxFaultDuration = 5 * time.Second
+	// minRestore is the shortest time from the copy of the store until it is back.
+	minRestore = time.Second
 )
 
 // newSchedule returns the faults of a run and its length. Dense and sparse
@@ -137,6 +143,23 @@
 	}
 }
 
+// addRestores adds restores of the store to a schedule: at the end of each phase with two
+// chances in three, so that the calm after it shows hosts that took no further changes. They
+// come from random numbers of their own, so that the other faults of a seed stay the same.
+func addRestores(seed uint64, faults []fault) []fault {
+	random := rand.New(rand.NewPCG(seed, uint64(len(storeRestore))))
+	for _, f := range faults {
+		if f.kind != configChange || f.duration != 0 || random.IntN(3) == 0 {
+			continue
+		}
+		r := fault{kind: storeRestore, pick: random.IntN(1 << 16), duration: minRestore + time.Duration(random.Int64N(int64(maxFaultDuration-minRestore)))}
+		r.at = f.at - calmChangeDelay - r.duration
+		faults = append(faults, r)
+	}
+	slices.SortStableFunc(faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
+	return faults
+}
+
 func newFault(random *rand.Rand, kinds []weightedKind) fault {
 	f := fault{pick: random.IntN(1 << 16), duration: 200*time.Millisecond + time.Duration(random.Int64N(int64(maxFaultDuration)))}
 	sum := 0
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -53,6 +53,8 @@
 	// Product runs the product's own path, with the deployment of an example,
 	// instead of the platform path.
 	Product bool
+	// Restores adds restores of the store from a copy to the faults.
+	Restores bool
 	// Programs is the directory of the executables, Examples that of the example
 	// deployments, and Dir that of the settings and logs of the run.
 	Programs, Examples, Dir string
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,10 +1,12 @@
 package soak
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -38,6 +40,8 @@
 		"product's own path":           {Seed: 7, Length: 18 * time.Second, Product: true},
 		"SIGHUP while a host starts":   {Seed: 1, Length: 18 * time.Second},
 		"late retransmission of a SYN": {Seed: 4, Length: 18 * time.Second},
+		"restored store":               {Seed: 501, Length: 18 * time.Second, Restores: true},
+		"restored store, product":      {Seed: 501, Length: 18 * time.Second, Restores: true, Product: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -83,3 +87,21 @@
 	_, err := Run(t.Context(), Options{Hosts: 0, Callers: 1})
 	require.Error(t, err)
 }
+
+// Restores leave the rest of a seed's schedule as it was, so that a seed that failed stays a regression case.
+func TestRestoresLeaveOtherFaults(t *testing.T) {
+	faults, length := newSchedule(rand.New(rand.NewPCG(3, 3)), 4*time.Minute, platformFaults)
+	all := addRestores(3, slices.Clone(faults))
+	var others, restores []fault
+	for _, f := range all {
+		if f.kind == storeRestore {
+			restores = append(restores, f)
+			require.LessOrEqual(t, f.at+f.duration, length-calmPhase)
+		} else {
+			others = append(others, f)
+		}
+	}
+	require.Equal(t, faults, others)
+	require.NotEmpty(t, restores)
+	require.True(t, slices.IsSortedFunc(all, func(a, b fault) int { return cmp.Compare(a.at, b.at) }))
+}
--- a/internal/standin/dsrworld/store.go
+++ b/internal/standin/dsrworld/store.go
@@ -145,6 +145,14 @@
 	s.write(entry{Key: key, Value: value})
 }
 
+// Holds reports whether the store has a registration with the given state under the key.
+func (s *Store) Holds(key, state string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var r Registration
+	return json.Unmarshal(s.items[key].Value, &r) == nil && r.State == state
+}
+
 // Remove removes a key.
 func (s *Store) Remove(key string) { s.write(entry{Key: key, Removed: true}) }
 
--- a/internal/standin/platform/admin.go
+++ b/internal/standin/platform/admin.go
@@ -23,6 +23,8 @@
 //	GET    /faults               the injected faults
 //	PUT    /faults               replaces them
 //	GET    /counters             the call counters by kind
+//	POST   /copy                 copies the store
+//	POST   /restore              restores the store from the last copy
 //	POST   /leases/{id}/expire   ends a lease
 //	PUT    /hosts/{name}         adds or changes a host of the list
 //	DELETE /hosts/{name}         removes a host from the list
@@ -32,6 +34,8 @@
 	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Faults()) })
 	mux.HandleFunc("PUT /faults", p.putFaults)
 	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Counters()) })
+	mux.HandleFunc("POST /copy", p.copyStore)
+	mux.HandleFunc("POST /restore", p.restoreStore)
 	mux.HandleFunc("POST /leases/{id}/expire", p.expireLease)
 	mux.HandleFunc("PUT /hosts/{name}", p.putHost)
 	mux.HandleFunc("DELETE /hosts/{name}", func(_ http.ResponseWriter, r *http.Request) { p.RemoveHost(r.PathValue("name")) })
@@ -73,6 +77,28 @@
 	}
 }
 
+func (p *Platform) copyStore(w http.ResponseWriter, _ *http.Request) {
+	s, ok := p.store.(Restorer)
+	if !ok {
+		http.Error(w, "the store can't be copied", http.StatusNotFound)
+		return
+	}
+	p.copyMu.Lock()
+	defer p.copyMu.Unlock()
+	p.copied = s.Copy()
+}
+
+func (p *Platform) restoreStore(w http.ResponseWriter, _ *http.Request) {
+	p.copyMu.Lock()
+	defer p.copyMu.Unlock()
+	if p.copied == nil {
+		http.Error(w, "there is no copy of the store", http.StatusNotFound)
+		return
+	}
+	// A copy exists only of a Restorer.
+	p.store.(Restorer).Restore(p.copied)
+}
+
 func (p *Platform) expireLease(w http.ResponseWriter, r *http.Request) {
 	id, err := strconv.ParseUint(r.PathValue("id"), 10, 64)
 	if err != nil {
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -10,12 +10,14 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"mimosashore.example/mimosashore/internal/store"
 	"mimosashore.example/mimosashore/internal/store/httpstore"
+	"mimosashore.example/mimosashore/internal/store/memstore"
 )
 
 // shutdownTimeout is the longest wait for calls in progress when Serve ends.
@@ -23,12 +25,19 @@
 
 // Options are the settings of a stand-in.
 type Options struct {
-	// Store holds the data. If it implements LeaseExpirer, leases can be expired.
+	// Store holds the data. If it implements LeaseExpirer, leases can be expired, and if it
+	// implements Restorer, it can be restored.
 	Store store.Store
 	// HostLag is the age of the list of hosts served by GET /hosts.
 	HostLag time.Duration
 }
 
+// Restorer is implemented by stores that can be restored from a copy.
+type Restorer interface {
+	Copy() *memstore.Copy
+	Restore(c *memstore.Copy)
+}
+
 // LeaseExpirer is implemented by stores whose leases can be expired immediately.
 type LeaseExpirer interface {
 	// ExpireLease expires the lease and reports whether it existed.
@@ -41,6 +50,10 @@
 	faults   faultState
 	counters *counters
 	hosts    *hostList
+
+	// copyMu guards copied, the copy to restore.
+	copyMu sync.Mutex
+	copied *memstore.Copy
 }
 
 // New returns a stand-in that injects no faults until they are set.
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -14,6 +14,7 @@
 
 	"mimosashore.example/mimosashore/internal/store"
 	"mimosashore.example/mimosashore/internal/store/httpstore"
+	"mimosashore.example/mimosashore/internal/store/memstore"
 )
 
 // singleKeyStore is a store with one entry.
@@ -169,3 +170,24 @@
 	cancel()
 	require.NoError(t, <-ended)
 }
+
+// A store that can't be copied, and one without a copy, are reported to the caller.
+func TestStoreIsRestoredFromCopy(t *testing.T) {
+	f := newFixture(t)
+	require.Equal(t, http.StatusNotFound, f.do(t, http.MethodPost, "/copy", "").StatusCode)
+
+	s := memstore.New(memstore.WallClock{}, memstore.DefaultHistory)
+	p := New(Options{Store: s})
+	admin := httptest.NewServer(p.AdminHandler())
+	t.Cleanup(admin.Close)
+	f.admin = admin
+	ctx := context.Background()
+	require.Equal(t, http.StatusNotFound, f.do(t, http.MethodPost, "/restore", "").StatusCode)
+	require.Equal(t, http.StatusOK, f.do(t, http.MethodPost, "/copy", "").StatusCode)
+	_, err := s.CompareAndSwap(ctx, "a", store.Position{}, []byte("1"), 0)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, f.do(t, http.MethodPost, "/restore", "").StatusCode)
+	e, err := s.Get(ctx, "a")
+	require.NoError(t, err)
+	require.Equal(t, store.Entry{Key: "a", Era: 1}, e)
+}
