dsrpeer, dsr: hosts compare what they keep by a digest; a started host keeps flows of a lost route

Cause: a host that started after a restore fetched what others keep only if it was more than its own, by number; two hosts can keep as many different entries. And such a host reset open flows whose route the copy lacks. Change: the message carries a digest of the kept entries. Result: TestHostsExchangeDifferentLostEntries and TestStartedHostKeepsFlowsOfLostRoute, written with the change.

--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -352,6 +352,10 @@
 		return Effect{Action: Reset, Reason: ReasonUpstreamGone}
 	}
 	if c.configured && c.routes[p.Service] == nil {
+		if now < c.storeSettledAt {
+			// The configuration of a host that just started may be the older one of a restored store.
+			return Effect{Action: Drop, Reason: ReasonStaleConfiguration}
+		}
 		if f != nil {
 			c.cache.remove(f)
 		}
--- a/internal/dsr/restore_test.go
+++ b/internal/dsr/restore_test.go
@@ -159,3 +159,25 @@
 	f.advance(settleTime)
 	require.Equal(t, Reset, c.retransmit().Action)
 }
+
+// Guards against a reset of an open flow by a host that started right after a restore, whose copy
+// lacks the flow's route.
+func TestStartedHostKeepsFlowsOfLostRoute(t *testing.T) {
+	f := &fixture{t: t, core: New("a", testFormat{}, 0), now: time.Second}
+	u := testUpstream(1, "orders", "a")
+	without := versionAt(1, 2, 3)
+	without.Routes = without.Routes[:1]
+	f.core.StoreAnswered(f.now)
+	f.core.Apply(f.now, &directory.Change{Full: true, Era: 2, Revision: 5, RequestedAt: f.now, Configuration: without, Upstreams: []directory.Upstream{u}})
+	c := f.caller(orderPort)
+	c.token = TokenOf(u.ID, u.Incarnation)
+	require.Equal(t, Drop, c.request().Action)
+	with := versionAt(2, 1, 9)
+	f.core.Apply(f.now, &directory.Change{Era: 2, Revision: 5, Configuration: with})
+	require.Equal(t, Forward, c.retransmit().Action, "another host had the lost version")
+	f.advance(settleTime)
+	f.core.StoreAnswered(f.now)
+	next := f.caller(uploadPort)
+	next.token = c.token
+	require.Equal(t, Reset, next.request().Action)
+}
--- a/internal/dsrpeer/follow.go
+++ b/internal/dsrpeer/follow.go
@@ -118,15 +118,15 @@
 	return hosts[:min(len(hosts), count)]
 }
 
-// fetchLost fetches the directory of a host that, by its message, keeps entries that the
-// store lost and this host lacks. It requests a full read of the store if the other host
+// fetchLost fetches the directory of a host that, by its message, keeps other entries that
+// the store lost than this host. It requests a full read of the store if the other host
 // has seen a later restore.
 func (p *Peer) fetchLost(ctx context.Context, host netip.AddrPort, n *syncMessage) {
 	own := p.settings.Replica.Position()
 	if !own.IsZero() && n.Era > uint64(own.Era) {
 		p.settings.Resync()
 	}
-	if n.Kept <= p.settings.Replica.Kept() {
+	if n.KeptDigest == 0 || n.KeptDigest == p.settings.Replica.KeptDigest() {
 		return
 	}
 	n, ws, err := p.dial(ctx, host, true)
@@ -139,7 +139,7 @@
 	}
 	err = p.applyMessage(ctx, n)
 	p.settings.Log.Info("read what the store lost from another host", zap.Stringer("host", host), zap.Uint64("era", n.Era),
-		zap.Int("kept", n.Kept), zap.Error(err))
+		zap.Int("kept", p.settings.Replica.Kept()), zap.Error(err))
 }
 
 // addPeers adds the hosts named in a message, and its sender if the message came
--- a/internal/dsrpeer/message.go
+++ b/internal/dsrpeer/message.go
@@ -64,12 +64,12 @@
 	StoreAgeMs int64
 	// ReadsStore is set while the sender reads the store itself and its last call succeeded.
 	ReadsStore bool
-	// Era is the era of the store up to which the sender has the directory, Kept the number of
-	// entries that the store lost and that the sender keeps, and KeptForMs how long it still
-	// keeps lost registrations, in milliseconds.
-	Era       uint64
-	Kept      int
-	KeptForMs int64
+	// Era is the era of the store up to which the sender has the directory, KeptDigest the digest
+	// of the entries that the store lost and that the sender keeps, and KeptForMs how long it
+	// still keeps lost registrations, in milliseconds.
+	Era        uint64
+	KeptDigest uint64
+	KeptForMs  int64
 	// Update is an encoded update; empty in a heartbeat.
 	Update []byte
 }
--- a/internal/dsrpeer/restore_test.go
+++ b/internal/dsrpeer/restore_test.go
@@ -99,3 +99,13 @@
 	require.NoError(t, err, "a lost entry may have a higher revision")
 	require.Equal(t, inEra("a", 1, 30), u.Events[0])
 }
+
+// Two hosts that started after the restore keep as many lost entries, but not the same ones.
+func TestHostsExchangeDifferentLostEntries(t *testing.T) {
+	a := start(t)
+	holdLost(a.replica)
+	b := start(t, a.settings.Control)
+	b.replica.Apply(replica.Update{Full: true, Era: 1, AtRevision: 9, Events: []store.Event{inEra("up/c", 1, 4), inEra("up/d", 1, 5)}})
+	b.replica.Apply(replica.Update{Full: true, Era: 2, AtRevision: 5, Events: []store.Event{inEra("up/a", 2, 2)}})
+	require.Eventually(t, func() bool { return b.replica.Kept() == 4 }, 5*time.Second, 5*time.Millisecond)
+}
--- a/internal/dsrpeer/serve.go
+++ b/internal/dsrpeer/serve.go
@@ -107,7 +107,8 @@
 func (p *Peer) send(ctx context.Context, ws *websocket.Conn, n *syncMessage) error {
 	n.StoreAgeMs = p.settings.StoreAge().Milliseconds()
 	n.ReadsStore = !p.settings.StoreFailing() && !p.Delegated()
-	n.Era, n.Kept, n.KeptForMs = uint64(p.settings.Replica.Position().Era), p.settings.Replica.Kept(), p.settings.Replica.KeptFor().Milliseconds()
+	r := p.settings.Replica
+	n.Era, n.KeptDigest, n.KeptForMs = uint64(r.Position().Era), r.KeptDigest(), r.KeptFor().Milliseconds()
 	p.Stats.Served.Add(1)
 	return write(ctx, ws, n)
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -9,9 +9,12 @@
 
 import (
 	"bytes"
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mimosashore.example/mimosashore/internal/store"
 )
 
@@ -103,6 +106,21 @@
 	return len(r.kept)
 }
 
+// KeptDigest returns a digest of the entries that the store lost and that are kept; zero if
+// there are none.
+func (r *Replica) KeptDigest() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var sum uint64
+	for key, e := range r.kept {
+		h := xxhash.New()
+		// Writing to a hash does not fail.
+		_, _ = fmt.Fprintf(h, "%s %d %d", key, e.Era, e.Modified)
+		sum ^= h.Sum64()
+	}
+	return sum
+}
+
 // KeptFor returns how long lost registrations are still kept.
 func (r *Replica) KeptFor() time.Duration {
 	r.mu.Lock()
