dsrpeer: a host that the store turns away follows one that has a fresh directory

Cause: found while looking for hosts that missed a restore. Such a host followed the first that sent a directory, also one that the store turned away too: two could follow each other and get no changes, while a third read the store. Change: the age in a message is that of the directory, own or followed. A host with a directory asks up to four others by a hello, follows one that heard of the store within 4 s or clearly later than itself, and leaves it when that ends. During an outage for all nobody follows after 4 s, until one hears of the store.

--- a/internal/dsrpeer/follow.go
+++ b/internal/dsrpeer/follow.go
@@ -152,10 +152,15 @@
 	}
 }
 
-// followAny follows the first host that sends an update. It reports false if this
-// host needs the directory from another one and no known host sent an update.
+// followAny follows a host whose directory is fresh, as long as it stays so. It reports false
+// if this host needs the directory from another one and found none to follow.
 func (p *Peer) followAny(ctx context.Context) bool {
-	for _, host := range p.peers.list(p.settings.Now()) {
+	hosts := p.peers.list(p.settings.Now())
+	if !p.settings.Replica.Position().IsZero() {
+		shuffle(hosts)
+		hosts = p.freshHosts(ctx, firstHosts(hosts, probeHosts))
+	}
+	for _, host := range hosts {
 		if ctx.Err() != nil || !p.settings.NeedsPeers() {
 			return true
 		}
@@ -170,13 +175,53 @@
 			continue
 		}
 		p.settings.Log.Info("following another host", zap.Stringer("host", host), zap.Int64("heard_ms", n.StoreAgeMs))
-		err = p.follow(ctx, ws, n, func(*syncMessage) bool { return p.settings.NeedsPeers() })
+		err = p.follow(ctx, ws, n, func(n *syncMessage) bool { return p.settings.NeedsPeers() && p.isFresh(n) })
 		p.settings.Log.Info("stopped following another host", zap.Stringer("host", host), zap.Error(err))
 		return true
 	}
 	return false
 }
 
+// freshHosts returns the first of the hosts whose directory is fresh by its answer to a hello, or
+// none. Hosts that the store turns away must not settle on each other.
+func (p *Peer) freshHosts(ctx context.Context, hosts []netip.AddrPort) []netip.AddrPort {
+	for _, host := range hosts {
+		n, ws, err := p.dial(ctx, host, false)
+		if err != nil {
+			p.Stats.Failed.Add(1)
+			continue
+		}
+		ws.CloseNow()
+		p.addPeers(host, n)
+		if p.isFresh(n) && !p.isBehind(n) {
+			return []netip.AddrPort{host}
+		}
+	}
+	return nil
+}
+
+// isFresh reports whether the sender of a message heard of the store lately, itself or through
+// the host that it follows, or at least later than this host.
+func (p *Peer) isFresh(n *syncMessage) bool {
+	age := time.Duration(n.StoreAgeMs) * time.Millisecond
+	own := p.directoryAge()
+	return age >= 0 && (age <= maxReaderStoreAge || own < 0 || age+fresherBy < own)
+}
+
+// directoryAge returns the time since the store last answered this host or, as far as it knows,
+// one that it follows; negative if it never did.
+func (p *Peer) directoryAge() time.Duration {
+	own := p.settings.StoreAge()
+	heard := p.storeHeardAt.Load()
+	if heard == 0 {
+		return own
+	}
+	if age := p.settings.Now() - time.Duration(heard); own < 0 || age < own {
+		return age
+	}
+	return own
+}
+
 // follow applies updates while the condition holds for each message, the connection
 // lasts and the other host is not in an earlier era of the store.
 func (p *Peer) follow(ctx context.Context, ws *websocket.Conn, n *syncMessage, while func(*syncMessage) bool) error {
@@ -222,6 +267,10 @@
 	if behind {
 		storeAge = -1
 	}
+	if storeAge >= 0 {
+		heard := max(int64(p.settings.Now()-storeAge), 1)
+		p.storeHeardAt.Store(max(p.storeHeardAt.Load(), heard))
+	}
 	p.settings.ApplyUpdate(ctx, u, storeAge)
 	if behind {
 		return eris.Errorf("it is in era %d of the store, this host in a later one", n.Era)
--- a/internal/dsrpeer/message.go
+++ b/internal/dsrpeer/message.go
@@ -60,7 +60,8 @@
 	// Self is the sender and Peers the hosts known to it; they are set in the first message only.
 	Self  peerInfo
 	Peers []peerInfo
-	// StoreAgeMs is the time since the store last answered the sender, in milliseconds; negative if it never did.
+	// StoreAgeMs is the time since the store last answered the sender or the host that it follows, in milliseconds; negative if
+	// it never did.
 	StoreAgeMs int64
 	// ReadsStore is set while the sender reads the store itself and its last call succeeded.
 	ReadsStore bool
--- a/internal/dsrpeer/peer.go
+++ b/internal/dsrpeer/peer.go
@@ -46,6 +46,12 @@
 	readerRetry = 2 * time.Second
 	// followRetry is the pause if no known host could be followed.
 	followRetry = 300 * time.Millisecond
+	// probeHosts is the number of hosts that are asked how fresh their directory is before one is
+	// followed.
+	probeHosts = 4
+	// fresherBy is how much later than this host another one must have heard of the store to
+	// be followed, if both heard of it long ago.
+	fresherBy = time.Second
 	// checkInterval is how often a host checks whether it needs to follow another one.
 	checkInterval = 100 * time.Millisecond
 	// headerTimeout is the longest wait for the header of a request; it allows for a TCP retransmission within a second.
@@ -100,6 +106,9 @@
 	storeReader atomic.Pointer[netip.AddrPort]
 	// answeredHellos counts hellos that got an answer.
 	answeredHellos atomic.Uint64
+	// storeHeardAt is when the store last answered a followed host, in nanoseconds since the
+	// start; zero is never.
+	storeHeardAt atomic.Int64
 	// greeted is closed when the first round of hellos is over.
 	greeted chan struct{}
 	// nextReaderAttempt is when Follow next tries to follow a store reader.
--- a/internal/dsrpeer/restore_test.go
+++ b/internal/dsrpeer/restore_test.go
@@ -1,6 +1,7 @@
 package dsrpeer
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -109,3 +110,22 @@
 	b.replica.Apply(replica.Update{Full: true, Era: 2, AtRevision: 5, Events: []store.Event{inEra("up/a", 2, 2)}})
 	require.Eventually(t, func() bool { return b.replica.Kept() == 4 }, 5*time.Second, 5*time.Millisecond)
 }
+
+// A host that the store turns away must not settle on others that it turns away too, or two follow
+// each other and get no changes while a third reads the store.
+func TestHostFollowsOneThatReadsStore(t *testing.T) {
+	var contacts []netip.AddrPort
+	for n := range 6 {
+		h := start(t)
+		h.replica.Apply(replica.Update{Full: true, AtRevision: store.Revision(10 + n%2)})
+		h.storeAge.Store(int64(10 * time.Second))
+		if n == 5 {
+			h.replica.Apply(replica.Update{Full: true, AtRevision: 20})
+			h.storeAge.Store(int64(100 * time.Millisecond))
+		}
+		contacts = append(contacts, h.settings.Control)
+	}
+	b := start(t, contacts...)
+	b.needsPeers.Store(true)
+	require.Eventually(t, func() bool { return b.replica.Position().Revision == 20 }, 6*time.Second, 5*time.Millisecond)
+}
--- a/internal/dsrpeer/serve.go
+++ b/internal/dsrpeer/serve.go
@@ -105,7 +105,7 @@
 }
 
 func (p *Peer) send(ctx context.Context, ws *websocket.Conn, n *syncMessage) error {
-	n.StoreAgeMs = p.settings.StoreAge().Milliseconds()
+	n.StoreAgeMs = p.directoryAge().Milliseconds()
 	n.ReadsStore = !p.settings.StoreFailing() && !p.Delegated()
 	r := p.settings.Replica
 	n.Era, n.KeptDigest, n.KeptForMs = uint64(r.Position().Era), r.KeptDigest(), r.KeptFor().Milliseconds()
