accept, spread, controlplane: documents that a restored store lost are written back

Seen by operators: after a restore, a drain by command, an address or any change of the lost acceptances is gone with the next acceptance by anyone, although hosts had it in force: a drained upstream gets requests again, and the address of a lost account can be claimed by another one while hosts still serve the first. Cause: hosts keep what was lost, but the store and so each proposal, claim and history entry go on without it. Change: the first listing of a restored store yields the documents that it has at a lower revision or not at all; the watchers write them back with their claims, on condition of what the store has. Only for a store that counts its restores. Result: TestLostDocumentIsWrittenBackToRestoredStore fails without the hand-over to the writer and passes with it; so do the tests of drains, addresses and deletions (written with the change).

--- a/internal/accept/restore_test.go
+++ b/internal/accept/restore_test.go
@@ -88,3 +88,57 @@
 	}
 	require.Equal(t, "other", read(t, inner, docName).Author)
 }
+
+// A drain by command was lost with the store, and the next acceptance let the upstream get requests
+// again. Once the document is written back, acceptances are based on it.
+func TestLostDocumentIsWrittenBack(t *testing.T) {
+	s := newStore()
+	mustAccept(t, s, declare("c1", 0, declared("a", 100, 1, 2)))
+	before := s.Copy()
+	lost := mustAccept(t, s, Change{Name: docName, ID: "d1", Proposal: Drain{Target: "u1"}})
+	s.Restore(before)
+	written, err := acceptor(s).Reinstate(ctx, lost)
+	require.NoError(t, err)
+	require.True(t, written)
+	require.Equal(t, lost, read(t, s, docName))
+	written, err = acceptor(s).Reinstate(ctx, lost)
+	require.NoError(t, err)
+	require.False(t, written, "another host wrote it back before")
+	next := mustAccept(t, s, declare("c2", 1, declared("a", 100, 1, 2, 3)))
+	require.Equal(t, []string{"u1"}, next.Drained)
+	written, err = acceptor(s).Reinstate(ctx, lost)
+	require.NoError(t, err)
+	require.False(t, written, "a later acceptance is not replaced")
+}
+
+// The address of a lost document was free in the restored store, so that another account could get
+// it while hosts still served the lost one.
+func TestAddressOfWrittenBackDocumentIsClaimed(t *testing.T) {
+	s := newStore()
+	before := s.Copy()
+	lost := mustAccept(t, s, declare("c1", 0, declared("a", 100, 1)))
+	s.Restore(before)
+	_, err := acceptor(s).Reinstate(ctx, lost)
+	require.NoError(t, err)
+	_, err = acceptor(s).Accept(ctx, declare("c2", 0, declared("b", 100, 2)))
+	refused(t, err)
+
+	s.Restore(before)
+	taken := mustAccept(t, s, declare("c3", 0, declared("b", 100, 2)))
+	_, err = acceptor(s).Reinstate(ctx, lost)
+	refused(t, err)
+	require.Equal(t, taken, read(t, s, taken.Name))
+	require.Nil(t, read(t, s, docName))
+}
+
+func TestLostDeletionIsWrittenBack(t *testing.T) {
+	s := newStore()
+	mustAccept(t, s, declare("c1", 0, declared("a", 100, 1)))
+	before := s.Copy()
+	lost := mustAccept(t, s, Change{Name: docName, ID: "c2", Proposal: Removal{ExpectedRevision: 1}})
+	s.Restore(before)
+	_, err := acceptor(s).Reinstate(ctx, lost)
+	require.NoError(t, err)
+	require.True(t, read(t, s, docName).Deleted)
+	mustAccept(t, s, declare("c3", 0, declared("b", 100, 1)))
+}
--- a/internal/controlplane/plane.go
+++ b/internal/controlplane/plane.go
@@ -73,9 +73,11 @@
 	commands     chan func(now time.Duration)
 	storeCalls   chan spread.StoreCall
 	storeResults chan storeResult
-	hostLists    chan []netip.AddrPort
-	metricSet    *metrics.Set
-	done         chan struct{}
+	// lost passes documents that the store lost from the event loop to writeBackLost.
+	lost      chan []*config.Document
+	hostLists chan []netip.AddrPort
+	metricSet *metrics.Set
+	done      chan struct{}
 
 	// Used by the event loop only.
 	publish          Publish
@@ -131,6 +133,7 @@
 		commands:     make(chan func(time.Duration), commandQueueSize),
 		storeCalls:   make(chan spread.StoreCall, 1),
 		storeResults: make(chan storeResult, 1),
+		lost:         make(chan []*config.Document, 1),
 		hostLists:    make(chan []netip.AddrPort, 1),
 		metricSet:    metrics.NewSet(),
 		done:         make(chan struct{}),
@@ -163,6 +166,7 @@
 	p.publish = publish
 	var tasks sync.WaitGroup
 	tasks.Go(func() { p.runStoreCalls(ctx) })
+	tasks.Go(func() { p.writeBackLost(ctx) })
 	tasks.Go(func() { p.pollHostList(ctx) })
 	tasks.Go(func() { p.loop(ctx) })
 	err := p.transport.Run(ctx)
@@ -259,6 +263,9 @@
 	if out.Call != nil {
 		p.storeCalls <- *out.Call
 	}
+	if len(out.Lost) > 0 {
+		p.queueLost(out.Lost)
+	}
 	if out.DialChanged {
 		p.dialHosts = out.Dial
 		p.setTargets()
--- a/internal/controlplane/plane_test.go
+++ b/internal/controlplane/plane_test.go
@@ -180,3 +180,25 @@
 		return !ready && why == "the store does not answer and no other host is linked"
 	}, waitTimeout, pollInterval)
 }
+
+// Guards against a confirmed document that stays lost after the store was restored from a copy:
+// hosts keep it in force, and one of them writes it back.
+func TestLostDocumentIsWrittenBackToRestoredStore(t *testing.T) {
+	f := newFleet(t)
+	f.putDocument(accountDocument("grower", 1))
+	before := f.mem.Copy()
+	f.start("a", "zone-a", 1)
+	f.start("b", "zone-a", 1)
+	f.putDocument(accountDocument("grower", 2))
+	f.eventually("revision 2", func(host int) bool { return f.hasRevision(host, 2) })
+	f.mem.Restore(before)
+	require.Eventually(t, func() bool {
+		e, err := f.mem.Get(context.Background(), "account/grower")
+		require.NoError(t, err)
+		d, err := config.DecodeDocument(e.Value)
+		require.NoError(t, err)
+		return d.Revision == 2
+	}, waitTimeout, pollInterval)
+	f.putDocument(accountDocument("grower", 3))
+	f.eventually("revision 3", func(host int) bool { return f.hasRevision(host, 3) })
+}
--- a/internal/spread/core.go
+++ b/internal/spread/core.go
@@ -83,6 +83,8 @@
 	// Dial holds the hosts to keep links to. It is valid only if DialChanged is set.
 	Dial        []ids.HostID
 	DialChanged bool
+	// Lost holds documents that the store lost in a restore, to be written back.
+	Lost []*config.Document
 	// Snapshot is the new configuration, or nil if it has not changed. Changed holds
 	// the names of the documents that differ from the previous snapshot.
 	Snapshot *config.Snapshot
--- a/internal/spread/reader.go
+++ b/internal/spread/reader.go
@@ -114,6 +114,8 @@
 	// heldAtStart holds the names of the documents that were held when the listing
 	// started.
 	heldAtStart []string
+	// restored is set while the listing is the first one of a restored store.
+	restored bool
 	// check is the position of the next check. Successive checks cycle through all
 	// documents.
 	check     listPosition
--- a/internal/spread/results.go
+++ b/internal/spread/results.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"mimosashore.example/mimosashore/internal/store"
@@ -51,6 +53,10 @@
 	}
 	r.position, r.phase = r.listedFrom, phaseWatch
 	c.reportMissing(out)
+	if r.restored {
+		r.restored = false
+		c.reportLost(out)
+	}
 	c.markReady("whole listing of the store", out)
 }
 
@@ -81,6 +87,17 @@
 		Reason: "documents that it lost stay in force", Warn: true,
 	})
 	c.startListing(now)
+	c.reader.restored = true
+}
+
+// reportLost returns the documents of which the restored store has a lower revision than
+// this host, or none.
+func (c *Core) reportLost(out *Effects) {
+	for _, name := range slices.Sorted(maps.Keys(c.reader.behind)) {
+		if d := c.docs.byName[name]; d != nil {
+			out.Lost = append(out.Lost, d.doc)
+		}
+	}
 }
 
 // handleCheck compares the store's position with the one that the watch has
