replica, dsr, dsrpeer: what is kept, and what is assumed of the store, in files of their own

Cause: three files had grown by a second job, one constant stood twice. Result: tests of the packages pass.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -10,6 +10,11 @@
 	"mimosashore.example/mimosashore/internal/store"
 )
 
+// RewriteTime is how long after the store's return registrations may be missing from it:
+// upstreams write them again within about two seconds, and a batched watch delivers that up to
+// 0.7 s later.
+const RewriteTime = 3 * time.Second
+
 // Upstream is the registration of one incarnation of an upstream.
 type Upstream struct {
 	// Key is the name of the registration, unique among all upstreams.
--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -50,31 +50,6 @@
 	}
 }
 
-// enterEra handles a restore of the store from a copy. What is missing in it may only be lost,
-// until upstreams have had the time to write their registrations again.
-func (c *Core) enterEra(now time.Duration, ch *directory.Change) {
-	if c.complete {
-		c.storeSettledAt = max(c.storeSettledAt, now+settleTime)
-		clear(c.unknownTokens)
-		c.emit(Record{
-			Event: "store was restored from a copy", Era: uint64(ch.Era), Revision: uint64(ch.Revision), Version: c.version,
-			HoldsFor: settleTime, Considered: len(ch.Upstreams), Open: len(c.byKey),
-		})
-	}
-	c.era = ch.Era
-}
-
-// keepLost keeps an upstream whose registration the store lost in a restore. That says nothing
-// about the upstream, which remains in use until settleTime is over.
-func (c *Core) keepLost(now time.Duration, key string) {
-	u := c.byKey[key]
-	if u == nil || u.removeAt != 0 || u.Era >= c.era {
-		return
-	}
-	u.lost = true
-	c.letLapse(now, u, "lost by the store")
-}
-
 // removeMissing removes the registrations that a full read no longer has.
 func (c *Core) removeMissing(now time.Duration, ch *directory.Change) {
 	present := make(map[string]bool, len(ch.Upstreams))
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -122,35 +122,6 @@
 // Flows returns the number of flows in the cache.
 func (c *Core) Flows() int { return len(c.cache.flows) }
 
-// StoreAnswered records an answer of the store.
-func (c *Core) StoreAnswered(now time.Duration) {
-	if c.storeDown || !c.storeReached {
-		c.storeSettledAt = now + settleTime
-	}
-	c.storeAnsweredAt, c.storeReached = now, true
-	if c.storeDown {
-		c.storeDown = false
-		c.emit(Record{Event: "store answers again", HoldsFor: settleTime})
-	}
-}
-
-// PeerAnswered records an update or a heartbeat from another host. storeAge is the time since the
-// store last answered that host; negative means never.
-func (c *Core) PeerAnswered(now, storeAge time.Duration) {
-	if storeAge >= 0 {
-		c.storeAnsweredAt = max(c.storeAnsweredAt, now-storeAge)
-	}
-}
-
-// StoreFailed records a call that the store did not answer. The cause is logged if it is the first
-// such call since the last answer.
-func (c *Core) StoreFailed(now time.Duration, cause string) {
-	if !c.storeDown {
-		c.storeDown = true
-		c.emit(Record{Event: "store does not answer", Detail: cause, Age: now - c.storeAnsweredAt})
-	}
-}
-
 // applyConfiguration activates a configuration if it is newer than the active one: by its revision
 // within an era of the store, by its version otherwise.
 func (c *Core) applyConfiguration(now time.Duration, n *directory.Configuration) {
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -11,9 +11,9 @@
 	// lapseGrace is how long an upstream is kept after its registration lapsed: the platform
 	// restores the registrations of live upstreams within two seconds of the return of the store.
 	lapseGrace = 2200 * time.Millisecond
-	// settleTime is how long after the return of the store registrations may be missing: the
-	// platform's two seconds, and the longest interval of batched watches.
-	settleTime = 3 * time.Second
+	// settleTime is how long after the return of the store, or the start of the host, nothing
+	// follows from a missing registration.
+	settleTime = directory.RewriteTime
 	// goneRetention is how long the token of an upstream that is gone is kept: the longest lifetime
 	// of a flow.
 	goneRetention = 60 * time.Second
--- a/internal/dsrpeer/follow.go
+++ b/internal/dsrpeer/follow.go
@@ -91,28 +91,35 @@
 		return true
 	}
 	for _, host := range hosts {
-		n, ws, err := p.dial(ctx, host, false)
+		n, err := p.hello(ctx, host)
 		if err != nil {
 			continue
 		}
-		ws.CloseNow()
-		p.addPeers(host, n)
 		p.fetchLost(ctx, host, n)
 		return true
 	}
 	return false
 }
 
+// hello sends a hello to a host and returns its answer.
+func (p *Peer) hello(ctx context.Context, host netip.AddrPort) (*syncMessage, error) {
+	n, ws, err := p.dial(ctx, host, false)
+	if err != nil {
+		return nil, err
+	}
+	ws.CloseNow()
+	p.addPeers(host, n)
+	return n, nil
+}
+
 // helloSeveral sends a hello to a few hosts, so that a host that starts learns what any
 // of them keeps of the entries that the store lost.
 func (p *Peer) helloSeveral(ctx context.Context) {
 	for _, host := range firstHosts(p.peers.helloOrder(p.settings.Now()), startHellos) {
-		n, ws, err := p.dial(ctx, host, false)
+		n, err := p.hello(ctx, host)
 		if err != nil {
 			continue
 		}
-		ws.CloseNow()
-		p.addPeers(host, n)
 		p.fetchLost(ctx, host, n)
 	}
 }
@@ -189,13 +196,11 @@
 // none. Hosts that the store turns away must not settle on each other.
 func (p *Peer) freshHosts(ctx context.Context, hosts []netip.AddrPort) []netip.AddrPort {
 	for _, host := range hosts {
-		n, ws, err := p.dial(ctx, host, false)
+		n, err := p.hello(ctx, host)
 		if err != nil {
 			p.Stats.Failed.Add(1)
 			continue
 		}
-		ws.CloseNow()
-		p.addPeers(host, n)
 		if p.isFresh(n) && !p.isBehind(n) {
 			return []netip.AddrPort{host}
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -8,25 +8,16 @@
 package replica
 
 import (
-	"bytes"
-	"fmt"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"mimosashore.example/mimosashore/internal/directory"
 	"mimosashore.example/mimosashore/internal/store"
 )
 
-const (
-	// subscriberQueueSize is the number of updates that are queued for a subscriber
-	// before it is dropped. A dropped subscriber starts over with a snapshot.
-	subscriberQueueSize = 32
-	// RewriteTime is how long after the store's return lost registrations are kept: the
-	// platform's upstreams write them again within about two seconds, and a batched
-	// watch delivers that up to 0.7 s later.
-	RewriteTime = 3 * time.Second
-)
+// subscriberQueueSize is the number of updates that are queued for a subscriber
+// before it is dropped. A dropped subscriber starts over with a snapshot.
+const subscriberQueueSize = 32
 
 // Update is a snapshot of the store's items or the changes since an earlier revision.
 type Update struct {
@@ -49,16 +40,6 @@
 	return store.Position{Era: u.Era, Revision: u.AtRevision}
 }
 
-// Policy decides about entries that were written in different eras of the store.
-type Policy interface {
-	// Resolve returns the entry to hold of two of the same key: later, which the store
-	// has; earlier, of an earlier era, if it is newer by what its writer says; or a mix
-	// that has the position of later.
-	Resolve(earlier, later store.Entry) store.Entry
-	// Expires reports whether a lost entry of the key is kept for RewriteTime only.
-	Expires(key string) bool
-}
-
 // Replica is a copy of the store's items. It is safe for concurrent use.
 type Replica struct {
 	policy Policy
@@ -99,35 +80,6 @@
 	return r.position
 }
 
-// Kept returns the number of entries that the store lost and that are kept.
-func (r *Replica) Kept() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.kept)
-}
-
-// KeptDigest returns a digest of the entries that the store lost and that are kept; zero if
-// there are none.
-func (r *Replica) KeptDigest() uint64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var sum uint64
-	for key, e := range r.kept {
-		h := xxhash.New()
-		// Writing to a hash does not fail.
-		_, _ = fmt.Fprintf(h, "%s %d %d", key, e.Era, e.Modified)
-		sum ^= h.Sum64()
-	}
-	return sum
-}
-
-// KeptFor returns how long lost registrations are still kept.
-func (r *Replica) KeptFor() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.keptFor()
-}
-
 // Apply applies an update and returns its new part. It reports false if the update
 // holds nothing new, or if no snapshot of its era was applied before it.
 func (r *Replica) Apply(u Update) (Update, bool) {
@@ -168,9 +120,9 @@
 		lost = append(lost, e)
 	}
 	if u.Era > r.position.Era {
-		r.keptUntil = r.now() + RewriteTime
+		r.keptUntil = r.now() + directory.RewriteTime
 		if u.KeptFor > 0 {
-			r.keptUntil = r.now() + min(u.KeptFor, RewriteTime)
+			r.keptUntil = r.now() + min(u.KeptFor, directory.RewriteTime)
 		}
 	}
 	r.position = u.Position()
@@ -188,61 +140,6 @@
 	return r.events()
 }
 
-// keep keeps an entry of an earlier era if the store lost it. It returns the entry that
-// holds for the key and whether that changed.
-func (r *Replica) keep(e store.Entry) (store.Entry, bool) {
-	if e.Era >= r.position.Era || r.policy.Expires(e.Key) && r.now() >= r.keptUntil {
-		return e, false
-	}
-	held, ok := r.held(e.Key)
-	if !ok {
-		r.kept[e.Key] = e
-		return e, true
-	}
-	earlier, later := e, held
-	if held.Position().Compare(e.Position()) < 0 {
-		earlier, later = held, e
-	}
-	winner := later
-	if earlier.Era != later.Era && !bytes.Equal(earlier.Value, later.Value) {
-		winner = r.policy.Resolve(earlier, later)
-	}
-	if winner.Position() == held.Position() && bytes.Equal(winner.Value, held.Value) {
-		return held, false
-	}
-	if winner.Era == r.position.Era {
-		r.items[e.Key] = winner
-		delete(r.kept, e.Key)
-	} else {
-		r.kept[e.Key] = winner
-	}
-	return winner, true
-}
-
-// held returns the entry that holds for a key.
-func (r *Replica) held(key string) (store.Entry, bool) {
-	if e, ok := r.kept[key]; ok {
-		return e, true
-	}
-	e, ok := r.items[key]
-	return e, ok
-}
-
-// keepLost keeps the events of earlier eras that the store lost, and returns what then
-// holds.
-func (r *Replica) keepLost(events []store.Event) []store.Event {
-	var out []store.Event
-	for _, e := range events {
-		if e.Deleted {
-			continue
-		}
-		if held, changed := r.keep(e.Entry); changed {
-			out = append(out, store.Event{Entry: held})
-		}
-	}
-	return out
-}
-
 // applyEvents applies events of the current era that are newer than the replica and
 // returns those that change what holds.
 func (r *Replica) applyEvents(events []store.Event) []store.Event {
@@ -274,34 +171,6 @@
 	return out
 }
 
-// DropExpired drops the kept entries that were not written again in time, and returns
-// the change. It reports false if there are none.
-func (r *Replica) DropExpired() (Update, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	u := Update{Era: r.position.Era, AtRevision: r.position.Revision}
-	if r.now() < r.keptUntil {
-		return u, false
-	}
-	for key := range r.kept {
-		if !r.policy.Expires(key) {
-			continue
-		}
-		delete(r.kept, key)
-		if stored, ok := r.items[key]; ok {
-			u.Events = append(u.Events, store.Event{Entry: stored})
-			continue
-		}
-		u.Events = append(u.Events, store.Event{Entry: store.Entry{Key: key, Modified: r.position.Revision, Era: r.position.Era}, Deleted: true})
-	}
-	if len(u.Events) > 0 {
-		r.changes++
-	}
-	return u, len(u.Events) > 0
-}
-
-func (r *Replica) keptFor() time.Duration { return max(r.keptUntil-r.now(), 0) }
-
 // events returns the entries that hold.
 func (r *Replica) events() []store.Event {
 	out := make([]store.Event, 0, len(r.items)+len(r.kept))
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mimosashore.example/mimosashore/internal/directory"
 	"mimosashore.example/mimosashore/internal/store"
 )
 
@@ -122,7 +123,7 @@
 	require.Empty(t, fresh.Events, "written again in order, still older than what holds")
 	fresh, _ = r.Apply(Update{Era: 2, AtRevision: 24, Events: []store.Event{value("config", "12", 2, 24)}})
 	require.Equal(t, []string{"config"}, keys(fresh))
-	*now += RewriteTime
+	*now += directory.RewriteTime
 	dropped, ok := r.DropExpired()
 	require.True(t, ok)
 	require.Equal(t, []string{"b"}, keys(dropped))
@@ -140,7 +141,7 @@
 	require.True(t, ok)
 	require.Empty(t, fresh.Events)
 	require.Equal(t, map[string]string{"a": "2"}, contents(r))
-	*now += RewriteTime
+	*now += directory.RewriteTime
 	require.Empty(t, contents(r))
 	dropped, _ := r.DropExpired()
 	require.True(t, dropped.Events[0].Deleted)
@@ -152,7 +153,7 @@
 	r.Apply(Update{Full: true, Era: 1, AtRevision: 9, Events: []store.Event{value("a", "2", 1, 9)}})
 	r.Apply(Update{Full: true, Era: 2, AtRevision: 9, Events: []store.Event{value("a", "1", 2, 9)}})
 	require.Equal(t, map[string]string{"a": "2"}, contents(r))
-	*now += RewriteTime
+	*now += directory.RewriteTime
 	dropped, ok := r.DropExpired()
 	require.True(t, ok)
 	require.Equal(t, "1", string(dropped.Events[0].Entry.Value))
@@ -184,7 +185,7 @@
 	require.Equal(t, contents(other), contents(r))
 	_, ok = r.Apply(other.Snapshot())
 	require.False(t, ok)
-	*now += RewriteTime
+	*now += directory.RewriteTime
 	r.DropExpired()
 	_, ok = r.Apply(other.Snapshot())
 	require.False(t, ok, "what expired doesn't come back")
