dsr, dsrhost, spread: each log line with a revision of the store has its era

Cause: lines on upstreams, items and watches named a revision, which two eras give to different writes. Change: the field era beside it; left out if the store has none. Result: tests of the packages pass.

--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -99,7 +99,7 @@
 	}
 	c.goneList = append(c.goneList, u)
 	c.unindexUpstream(u)
-	c.emit(Record{Event: "upstream gone", Upstream: u.Key, Service: u.Service, Detail: cause, Revision: uint64(u.Revision), Age: now - u.lastAnswerAt})
+	c.emit(Record{Event: "upstream gone", Upstream: u.Key, Service: u.Service, Detail: cause, Era: uint64(u.Era), Revision: uint64(u.Revision), Age: now - u.lastAnswerAt})
 }
 
 // applyUpstream updates an upstream or adds it. A new incarnation, address or service replaces the
@@ -115,7 +115,7 @@
 			if !d.Draining {
 				event = "upstream no longer draining"
 			}
-			c.emit(Record{Event: event, Upstream: d.Key, Service: d.Service, Revision: uint64(d.Revision)})
+			c.emit(Record{Event: event, Upstream: d.Key, Service: d.Service, Era: uint64(d.Era), Revision: uint64(d.Revision)})
 		}
 		if u.unreadable || d.Draining != u.Draining || d.Slots != u.Slots || d.Zone != u.Zone {
 			u.service.sharesStale = true
@@ -142,7 +142,7 @@
 	}
 	c.byKey[d.Key] = n
 	c.indexUpstream(n)
-	c.emit(Record{Event: "upstream registered", Upstream: d.Key, Service: d.Service, Token: n.token, To: d.Addr, Revision: uint64(d.Revision)})
+	c.emit(Record{Event: "upstream registered", Upstream: d.Key, Service: d.Service, Token: n.token, To: d.Addr, Era: uint64(d.Era), Revision: uint64(d.Revision)})
 }
 
 func (c *Core) zoneOf(name string) *zone {
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -271,7 +271,7 @@
 		rec.Waiting, rec.Demand, rec.Slots, rec.Work = s.waiting, s.demand.Rate(now), s.ownSlots, s.work.Mean()
 	}
 	if u := ch.upstream; u != nil {
-		rec.Upstream, rec.Token, rec.Revision, rec.To = u.Key, u.token, uint64(u.Revision), u.Addr
+		rec.Upstream, rec.Token, rec.Era, rec.Revision, rec.To = u.Key, u.token, uint64(u.Era), uint64(u.Revision), u.Addr
 		rec.Open, rec.Action = u.busy+u.opening, Forward
 	}
 	c.emit(rec)
@@ -298,7 +298,7 @@
 		Version: c.version, Age: now - c.storeAnsweredAt,
 	}
 	if u != nil {
-		rec.Upstream, rec.Service, rec.Revision = u.Key, u.Service, uint64(u.Revision)
+		rec.Upstream, rec.Service, rec.Era, rec.Revision = u.Key, u.Service, uint64(u.Era), uint64(u.Revision)
 		rec.Age = now - u.lastAnswerAt
 	}
 	c.emit(rec)
--- a/internal/dsrhost/translate.go
+++ b/internal/dsrhost/translate.go
@@ -52,13 +52,13 @@
 func (t *translator) addConfiguration(ch *directory.Change, e *store.Event) {
 	if e.Deleted {
 		t.stats.malformedItems.Inc()
-		t.log.Warn("configuration deleted from store; the last one stays in force", zap.Uint64("revision", uint64(e.Entry.Modified)))
+		t.log.Warn("configuration deleted from store; the last one stays in force", positionFields(e.Entry.Position())...)
 		return
 	}
 	c, problems := t.layout.DecodeConfiguration(e.Entry.Value, e.Entry.Modified)
 	for _, p := range problems {
 		t.stats.malformedItems.Inc()
-		t.log.Warn("configuration has a part that can't be read", zap.Uint64("revision", uint64(e.Entry.Modified)), zap.Error(p))
+		t.log.Warn("configuration has a part that can't be read", positionFields(e.Entry.Position(), zap.Error(p))...)
 	}
 	if c != nil {
 		c.Era = e.Entry.Era
@@ -70,7 +70,7 @@
 	u, err := t.layout.DecodeUpstream(e.Key, e.Value, e.Modified)
 	if err != nil {
 		t.stats.malformedItems.Inc()
-		t.log.Warn("registration is not used", zap.Uint64("revision", uint64(e.Modified)), zap.Error(err))
+		t.log.Warn("registration is not used", positionFields(e.Position(), zap.Error(err))...)
 		ch.Removed = append(ch.Removed, directory.Removal{Key: e.Key, Era: e.Era, Revision: e.Modified, Malformed: true})
 		return
 	}
@@ -88,8 +88,8 @@
 		if before == nil || after != nil && after.Version >= before.Version {
 			return later
 		}
-		t.log.Warn("configuration from before the restore of the store stays in force", zap.Uint64("version", before.Version),
-			zap.Uint64("store_version", versionOf(after)), zap.Uint64("era", uint64(later.Era)), zap.Uint64("revision", uint64(later.Modified)))
+		t.log.Warn("configuration from before the restore of the store stays in force",
+			positionFields(later.Position(), zap.Uint64("version", before.Version), zap.Uint64("store_version", versionOf(after)))...)
 		return earlier
 	}
 	before, errBefore := t.layout.DecodeUpstream(earlier.Key, earlier.Value, earlier.Modified)
--- a/internal/spread/core.go
+++ b/internal/spread/core.go
@@ -63,7 +63,7 @@
 	// Held is the revision that this host holds after the decision. In a record
 	// about the store as a whole, Revision and Held are revisions of the store.
 	Held uint64
-	// Era is the store's era, in records about a restore.
+	// Era is the store's era, in records about the store as a whole.
 	Era uint64
 	// Source is the host that offered the document, or zero for the store.
 	Source ids.HostID
--- a/internal/spread/results.go
+++ b/internal/spread/results.go
@@ -113,7 +113,7 @@
 	case page.At < r.position.Revision && r.mayRelist(now, decreaseListInterval):
 		c.counters.StoreRelists++
 		out.Records = append(out.Records, Record{
-			Event: "store revision decreased", Revision: uint64(page.At), Held: uint64(r.position.Revision),
+			Event: "store revision decreased", Era: uint64(page.Era), Revision: uint64(page.At), Held: uint64(r.position.Revision),
 			Reason: "it is lower than the revision that the watch reached", Warn: true,
 		})
 		c.startListing(now)
@@ -159,7 +159,7 @@
 	}
 	c.counters.SilentWatches++
 	out.Records = append(out.Records, Record{
-		Event: "watch is silent", Revision: uint64(r.position.Revision), Reason: "the store holds later writes", Warn: true,
+		Event: "watch is silent", Era: uint64(r.position.Era), Revision: uint64(r.position.Revision), Reason: "the store holds later writes", Warn: true,
 	})
 	c.startListing(now)
 }
@@ -210,7 +210,7 @@
 	}
 	if errors.As(err, &failure) && failure.Fault == store.FaultCompacted {
 		c.counters.StoreRelists++
-		out.Records = append(out.Records, Record{Event: "listing the store again", Revision: uint64(r.position.Revision), Reason: "the revision to watch from was compacted"})
+		out.Records = append(out.Records, Record{Event: "listing the store again", Era: uint64(r.position.Era), Revision: uint64(r.position.Revision), Reason: "the revision to watch from was compacted"})
 		c.startListing(now)
 		return false
 	}
