dsrhost: a host that starts waits 25 ms for what others keep

Cause: a host that starts waited 150 ms for others before it was ready; after an outage of all there is no other.

--- a/internal/dsrhost/feed.go
+++ b/internal/dsrhost/feed.go
@@ -37,8 +37,9 @@
 	// turns to other hosts. The store normally answers the two calls of a full read in 8 ms.
 	startupStoreWait = 250 * time.Millisecond
 	// startupPeerWait is how long a host that starts waits for other hosts to tell what the
-	// store lost, before it serves what it read: three exchanges between the most distant zones.
-	startupPeerWait = 150 * time.Millisecond
+	// store lost, before it serves what it read: six round trips of 4 ms. Where all hosts start
+	// at once, each of them waits in vain.
+	startupPeerWait = 25 * time.Millisecond
 )
 
 // feedKind is the kind of an event of the feed.
