Review case 1: followers of a cut-off reader reset orders on an added route

Stand-ins of the store, the routers, upstreams and callers (review/world, standard library only) and the first case. A host that reads the store for others is cut off from it for 4 s, the operator adds a route and a host joins: hosts that were not cut reset open flows of the route.

--- /dev/null
+++ b/review/world/cases.go
@@ -0,0 +1,6 @@
+package main
+
+// cases holds the cases by name.
+var cases = map[string]func(*world) error{
+	"new-route": newRoute,
+}
--- /dev/null
+++ b/review/world/store.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// item is an item of the store as it is encoded.
+type item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision"`
+	Removed  bool   `json:"removed,omitempty"`
+}
+
+// storeDelay is the time of an answer; rangePage the number of items of a page.
+const (
+	storeDelay = 4 * time.Millisecond
+	rangePage  = 50
+)
+
+// store stands in for the platform's metadata store. It is linearizable, loses nothing and keeps its
+// whole history.
+type store struct {
+	listener net.Listener
+	server   *http.Server
+
+	mu       sync.Mutex
+	items    map[string]item
+	history  []item
+	revision uint64
+	changed  chan struct{}
+}
+
+func newStore(address string) (*store, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &store{listener: l, items: make(map[string]item), revision: 1, changed: make(chan struct{})}
+	s.server = &http.Server{Handler: http.HandlerFunc(s.serve)}
+	go s.server.Serve(l)
+	return s, nil
+}
+
+func (s *store) addr() string { return s.listener.Addr().String() }
+
+// put writes a value and returns when the write was confirmed.
+func (s *store) put(key string, value any) time.Time {
+	b, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.write(item{Key: key, Value: b})
+	return time.Now()
+}
+
+// holds reports whether the store has a value under a key.
+func (s *store) holds(key string, value any) bool {
+	b, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return bytes.Equal(s.items[key].Value, b)
+}
+
+func (s *store) remove(key string) { s.write(item{Key: key, Removed: true}) }
+
+func (s *store) write(e item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	e.Revision = s.revision
+	if e.Removed {
+		delete(s.items, e.Key)
+	} else {
+		s.items[e.Key] = e
+	}
+	s.history = append(s.history, e)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) serve(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(storeDelay)
+	q := r.URL.Query()
+	switch r.Method + " " + r.URL.Path {
+	case "GET /kv-key":
+		s.mu.Lock()
+		e, ok := s.items[q.Get("key")]
+		at := s.revision
+		s.mu.Unlock()
+		if !ok {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		answer(w, map[string]any{"key": e.Key, "value": e.Value, "revision": e.Revision, "createRevision": e.Revision, "lease": 0, "asOf": at})
+	case "GET /kv-range":
+		s.list(w, q.Get("prefix"), q.Get("after"))
+	case "GET /kv-watch":
+		s.watch(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func answer(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A write fails only if the client is gone.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *store) list(w http.ResponseWriter, prefix, after string) {
+	s.mu.Lock()
+	var keys []string
+	for k := range s.items {
+		if strings.HasPrefix(k, prefix) && k > after {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	items := []item{}
+	for _, k := range keys[:min(len(keys), rangePage)] {
+		items = append(items, s.items[k])
+	}
+	at := s.revision
+	s.mu.Unlock()
+	answer(w, map[string]any{"items": items, "hasMore": len(keys) > rangePage, "asOf": at})
+}
+
+func (s *store) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
+	wait, err2 := strconv.Atoi(q.Get("waitMs"))
+	if err != nil || err2 != nil || wait > 30000 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	for expired := false; ; {
+		s.mu.Lock()
+		events := []item{}
+		for _, e := range s.history {
+			if e.Revision > after && strings.HasPrefix(e.Key, q.Get("prefix")) {
+				events = append(events, e)
+			}
+		}
+		at, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if len(events) > 0 || expired {
+			answer(w, map[string]any{"events": events, "asOf": at})
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			expired = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
