Review case 2: an entry of another writer resets flows of a live upstream

An entry with an unknown service or without a version under the id of a live upstream counts as its restart.

--- a/review/world/cases.go
+++ b/review/world/cases.go
@@ -2,5 +2,6 @@
 
 // cases holds the cases by name.
 var cases = map[string]func(*world) error{
-	"new-route": newRoute,
+	"foreign-entry": foreignEntry,
+	"new-route":     newRoute,
 }
