Review case 3: an entry of another writer moves an upstream to another service

The entry lacks the version and names another service; the upstream then runs orders of that service.

--- a/review/world/cases.go
+++ b/review/world/cases.go
@@ -3,5 +3,6 @@
 // cases holds the cases by name.
 var cases = map[string]func(*world) error{
 	"foreign-entry": foreignEntry,
+	"foreign-route": foreignRoute,
 	"new-route":     newRoute,
 }
