Review case 4: loss on one caller's link resets flows of a healthy upstream

The link of one caller at a time loses an answer, its first repeat and an acknowledgement; the host takes the upstream for silent and resets that flow and flows of other callers.

--- a/review/world/cases.go
+++ b/review/world/cases.go
@@ -4,5 +4,6 @@
 var cases = map[string]func(*world) error{
 	"foreign-entry": foreignEntry,
 	"foreign-route": foreignRoute,
+	"lossy-client":  lossyClient,
 	"new-route":     newRoute,
 }
