Review case 5: an order from a reused port reaches a draining upstream

A first SYN from the port of an attempt that was given up within the last minute goes to the upstream of that attempt, also when that is draining.

--- a/review/world/cases.go
+++ b/review/world/cases.go
@@ -6,4 +6,5 @@
 	"foreign-route": foreignRoute,
 	"lossy-client":  lossyClient,
 	"new-route":     newRoute,
+	"reused-port":   reusedPort,
 }
