--- a/review/world/cases.go
+++ b/review/world/cases.go
@@ -4,6 +4,7 @@
 var cases = map[string]func(*world) error{
 	"foreign-entry": foreignEntry,
 	"foreign-route": foreignRoute,
+	"large-entries": largeEntries,
 	"lossy-client":  lossyClient,
 	"new-route":     newRoute,
 	"reused-port":   reusedPort,
--- a/review/world/store.go
+++ b/review/world/store.go
@@ -18,25 +18,32 @@
 	Value    []byte `json:"value,omitempty"`
 	Revision uint64 `json:"revision"`
 	Removed  bool   `json:"removed,omitempty"`
+
+	at time.Time
 }
 
-// storeDelay is the time of an answer; rangePage the number of items of a page.
+// storeDelay is the time of an answer; rangePage the number of items of a page, rangeBytes that of
+// bytes of values after which a page ends.
 const (
 	storeDelay = 4 * time.Millisecond
 	rangePage  = 50
+	rangeBytes = 1 << 20
 )
 
 // store stands in for the platform's metadata store. It is linearizable, loses nothing and keeps its
-// whole history.
+// whole history, or that of historyFor if that is not zero.
 type store struct {
-	listener net.Listener
-	server   *http.Server
+	historyFor time.Duration
+	listener   net.Listener
+	server     *http.Server
 
 	mu       sync.Mutex
 	items    map[string]item
 	history  []item
 	revision uint64
 	changed  chan struct{}
+	// forgotten is the revision up to which the history is discarded.
+	forgotten uint64
 }
 
 func newStore(address string) (*store, error) {
@@ -75,17 +82,20 @@
 
 func (s *store) remove(key string) { s.write(item{Key: key, Removed: true}) }
 
-func (s *store) write(e item) {
+// write makes changes in one transaction.
+func (s *store) write(changes ...item) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	e.Revision = s.revision
-	if e.Removed {
-		delete(s.items, e.Key)
-	} else {
-		s.items[e.Key] = e
+	for _, e := range changes {
+		e.Revision, e.at = s.revision, time.Now()
+		if e.Removed {
+			delete(s.items, e.Key)
+		} else {
+			s.items[e.Key] = e
+		}
+		s.history = append(s.history, e)
 	}
-	s.history = append(s.history, e)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -129,12 +139,14 @@
 	}
 	sort.Strings(keys)
 	items := []item{}
-	for _, k := range keys[:min(len(keys), rangePage)] {
-		items = append(items, s.items[k])
+	for size := 0; len(items) < min(len(keys), rangePage) && size < rangeBytes; {
+		e := s.items[keys[len(items)]]
+		items = append(items, e)
+		size += len(e.Value)
 	}
 	at := s.revision
 	s.mu.Unlock()
-	answer(w, map[string]any{"items": items, "hasMore": len(keys) > rangePage, "asOf": at})
+	answer(w, map[string]any{"items": items, "hasMore": len(keys) > len(items), "asOf": at})
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request) {
@@ -148,6 +160,11 @@
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for expired := false; ; {
 		s.mu.Lock()
+		if after < s.forget() {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		events := []item{}
 		for _, e := range s.history {
 			if e.Revision > after && strings.HasPrefix(e.Key, q.Get("prefix")) {
@@ -169,3 +186,15 @@
 		}
 	}
 }
+
+// forget discards history that is older than historyFor and returns the revision up to which it is
+// discarded. The caller holds the lock.
+func (s *store) forget() uint64 {
+	n := 0
+	for s.historyFor != 0 && n < len(s.history) && time.Since(s.history[n].at) > s.historyFor {
+		s.forgotten = s.history[n].Revision
+		n++
+	}
+	s.history = s.history[n:]
+	return s.forgotten
+}
