--- a/review/world/foreignentry.go
+++ b/review/world/foreignentry.go
@@ -47,7 +47,7 @@
 		time.Sleep(gap)
 	}
 	t.group.Wait()
-	for _, text := range w.foreignResets(nil) {
+	for _, text := range w.foreignResets(nil, w.start) {
 		w.breaks("FLOW: %s", text)
 	}
 	return nil
--- a/review/world/lossyclient.go
+++ b/review/world/lossyclient.go
@@ -69,7 +69,7 @@
 	}
 	t.group.Wait()
 	w.record("datagrams lost on links of clients: %d of %d that backends sent", lost.Load(), w.sent.Load())
-	for _, text := range w.foreignResets(nil) {
+	for _, text := range w.foreignResets(nil, w.start) {
 		w.breaks("FLOW: %s", text)
 	}
 	return nil
--- a/review/world/newroute.go
+++ b/review/world/newroute.go
@@ -7,25 +7,28 @@
 	"time"
 )
 
-// newRoute: a host is partitioned from the store when the operator adds a route, and a host is added.
+// newRoute: a host is partitioned from the store when the operator adds a route, and a host is added;
+// twice.
 func newRoute(w *world) error {
-	// cutTime is the shortest one of the site's entries for core_cut.
-	const cutTime = 4 * time.Second
+	const rounds = 2
 	w.bounds = bounds()
-	added := route("cover-order-2", netip.MustParseAddrPort("127.198.18.3:8080"), "unsafe", pedidos, 1)
-	addedAddr := netip.MustParseAddrPort("127.198.18.3:8080")
-	w.configure(1, baseRoutes()...)
+	routes := baseRoutes()
+	w.configure(1, routes...)
 	if err := w.startBackends(8, 1); err != nil {
 		return err
 	}
 	if err := w.startHosts(zoneA, 5); err != nil {
 		return err
 	}
-	spare, err := w.newHost(zoneA)
-	if err != nil {
-		return err
+	var spares []*host
+	for range rounds {
+		spare, err := w.newHost(zoneA)
+		if err != nil {
+			return err
+		}
+		spares = append(spares, spare)
 	}
-	t := &tasks{until: time.Now().Add(24 * time.Second)}
+	t := &tasks{until: time.Now().Add(stableTime + 7*time.Second + rounds*roundTime)}
 	growers, err := w.newClient("growers", w.ip(120))
 	if err != nil {
 		return err
@@ -36,15 +39,44 @@
 	if _, err := w.startFeeders(t, 8, time.Second); err != nil {
 		return err
 	}
+	var dealers []*client
+	for i := range 24 {
+		c, err := w.newClient(fmt.Sprintf("orders-%d", i+1), w.ip(160+i))
+		if err != nil {
+			return err
+		}
+		dealers = append(dealers, c)
+	}
 	time.Sleep(stableTime + 7*time.Second)
+	for i, spare := range spares {
+		end := time.Now().Add(roundTime)
+		added := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 198, 18, byte(3 + i)}), 8080)
+		// A change of a time-out, a second before the route is added.
+		routes[2]["timeoutMs"] = 8000 + i
+		w.configure(2+2*i, routes...)
+		routes = append(routes, route(fmt.Sprintf("cover-order-%d", 2+i), added, "unsafe", pedidos, 1))
+		if err := w.addRoute(3+2*i, routes, added, spare, dealers); err != nil {
+			return err
+		}
+		time.Sleep(time.Until(end))
+	}
+	t.group.Wait()
+	return nil
+}
+
+// roundTime is the time of one round of the case.
+const roundTime = 14 * time.Second
+
+// addRoute adds a route while the host that reads the store for most others is cut off from it, adds a
+// host, and records resets of open flows of the route.
+func (w *world) addRoute(version int, routes []map[string]any, added netip.AddrPort, spare *host, dealers []*client) error {
+	// cutTime is the shortest one of the site's entries for core_cut.
+	const cutTime = 4 * time.Second
 	cut := w.busiestReader()
 	if cut == nil {
 		return fmt.Errorf("no host reads the store for another one")
 	}
-	// A change of a time-out, a second before the route is added.
-	changed := baseRoutes()
-	changed[2]["timeoutMs"] = 8000
-	w.configure(2, changed...)
+	began := time.Now()
 	time.Sleep(900 * time.Millisecond)
 	if w.trouble {
 		cut.link.setCut(true)
@@ -55,7 +87,7 @@
 		})
 	}
 	time.Sleep(100 * time.Millisecond)
-	w.configure(3, append(changed, added)...)
+	w.configure(version, routes...)
 	time.Sleep(50 * time.Millisecond)
 	if err := spare.start(); err != nil {
 		return err
@@ -63,24 +95,19 @@
 	// The platform's routers learn of the added host a little later than it starts.
 	time.AfterFunc(400*time.Millisecond, func() { w.router.add(spare) })
 	var group sync.WaitGroup
-	for i := range 24 {
-		c, err := w.newClient(fmt.Sprintf("orders-%d", i+1), w.ip(160+i))
-		if err != nil {
-			return err
-		}
+	for _, c := range dealers {
 		group.Go(func() {
 			var f *clientFlow
 			for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
-				if f = c.feed(f, addedAddr); f != nil {
+				if f = c.feed(f, added); f != nil {
 					f.request(orderPath, orderSize, orderBudget)
 				}
 			}
 		})
 	}
 	group.Wait()
-	t.group.Wait()
 	// The host that was cut and the one that has just started are not in touch.
-	for _, text := range w.foreignResets(func(h *host) bool { return h == cut || h == spare }) {
+	for _, text := range w.foreignResets(func(h *host) bool { return h == cut || h == spare }, began) {
 		w.breaks("FLOW: %s", text)
 	}
 	return nil
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -156,16 +156,16 @@
 	return nil
 }
 
-// foreignResets returns the resets of open flows that did not come from the flow's backend, while that
-// backend was alive, and that did not come from a host for which excused reports true.
-func (w *world) foreignResets(excused func(h *host) bool) []string {
+// foreignResets returns the resets of open flows since a time that did not come from the flow's backend,
+// while that backend was alive, and that did not come from a host for which excused reports true.
+func (w *world) foreignResets(excused func(h *host) bool, since time.Time) []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var out []string
 	for _, r := range w.resets {
 		o, ok := w.opened[openKey{r.flow.key, r.flow.isn}]
 		left, gone := w.left[o.backend]
-		if !ok || o.at.After(r.at) || gone && left.Before(r.at) || !r.byHost && r.from == o.backend.addr {
+		if !ok || r.at.Before(since) || o.at.After(r.at) || gone && left.Before(r.at) || !r.byHost && r.from == o.backend.addr {
 			continue
 		}
 		sender := r.from.String()
