--- a/review/world/reusedport.go
+++ b/review/world/reusedport.go
@@ -8,11 +8,11 @@
 // reusedPort: a backend drains; a client uses the port of an attempt that it gave up before again.
 func reusedPort(w *world) error {
 	const (
-		ports = 64
-		pause = 150 * time.Millisecond
-		// Each giveUpEach-th attempt is given up before the flow is open; 64 is no multiple of it.
+		ports = 301
+		pause = 120 * time.Millisecond
+		// Each giveUpEach-th attempt is given up before the flow is open; 301 is no multiple of it.
 		giveUpEach = 3
-		drainAt    = 10 * time.Second
+		drainAt    = 37 * time.Second
 		drainsFor  = 16 * time.Second
 	)
 	w.bounds = bounds()
