dsr, dsrhost: flows without a route are reset only by a confirmed directory

A host that follows a reader of the store which is cut off from it took its directory for recent: the reader notices after 2.9 s, and an answer of the store within 6 s was enough to reset an open flow. Hosts that read the store themselves have the same fault while its watches hear nothing, as in a compaction.

What is missing is now judged only after the store's position was read, by a call that began after the question arose, and the directory has reached that position (one small call, at most every 200 ms, for all open questions). Until then the packet is dropped; the reset follows without a retransmission. First SYNs are refused at once if the directory was confirmed within 500 ms. While the store does not answer this host, the answer that another host reports has to be 2 s later than the question. The replica's changes and the core's events are now ordered by a lock, or a confirmation could overtake a write.

TestMissingRouteResetsOnlyWithFreshConfiguration is replaced by tests that ask for more: what it allowed to be reset after any answer within 6 s now takes a confirmation.

--- a/cmd/mimosad-dsr/host_test.go
+++ b/cmd/mimosad-dsr/host_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mimosashore.example/mimosashore/internal/directory"
 	"mimosashore.example/mimosashore/internal/standin/dsrworld"
 )
 
@@ -118,6 +119,33 @@
 	}, waitTimeout, 20*time.Millisecond)
 }
 
+// Guards against a reset of an open flow on a route that was just added, by a host that has not
+// heard of the route: the store's watches hear nothing for a moment, and the host's directory looks
+// recent all the same.
+func TestOpenFlowOnAddedRouteSurvivesHostThatMissesIt(t *testing.T) {
+	f := newFleet(t, 2)
+	stale, fresh := f.hosts[0], f.hosts[1]
+	// In the first seconds after its start a host resets no flow for want of a route.
+	time.Sleep(directory.RewriteTime + 500*time.Millisecond)
+	fresh.kill()
+	f.store.SuspendWatches()
+	f.store.Put(dsrworld.ConfigurationKey, dsrworld.Configuration(2, []any{
+		dsrworld.Route("orders", orders, "unsafe", "orders-service"), dsrworld.Route("added", unrouted, "unsafe", "orders-service"),
+	}))
+	fresh.start()
+	fresh.awaitReady(http.StatusOK)
+	host := fresh
+	flow, err := f.caller().Open(unrouted, func() netip.AddrPort { return host.data })
+	require.NoError(t, err)
+	name, err := flow.Request("one")
+	require.NoError(t, err)
+	host = stale
+	time.AfterFunc(time.Second, f.store.Compact)
+	again, err := flow.Request("two")
+	require.NoError(t, err)
+	require.Equal(t, name, again)
+}
+
 // Guards against malformed entries in the store that end the host or replace its valid
 // configuration. The counter holds six registrations, the configuration and the malformed
 // route that fleet.configure writes.
--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -47,6 +47,9 @@
 	}
 	if ch.Full {
 		c.complete = true
+		if !ch.FromPeer {
+			c.Confirmed(now, ch.RequestedAt)
+		}
 	}
 }
 
--- a/internal/dsr/apply_test.go
+++ b/internal/dsr/apply_test.go
@@ -16,22 +16,6 @@
 	require.EqualValues(t, 30, f.core.Version())
 }
 
-func TestMissingRouteResetsOnlyWithFreshConfiguration(t *testing.T) {
-	f := newFixture(t)
-	require.Equal(t, Reset, f.caller(81).sendSYN().Action)
-	f.advance(noRouteMaxAge + time.Millisecond)
-	require.Equal(t, Drop, f.caller(81).sendSYN().Action)
-	f.core.StoreAnswered(f.now)
-	f.core.StoreFailed(f.now, "test")
-	f.advance(noRouteMaxAgeStoreDown + time.Millisecond)
-	require.Equal(t, Drop, f.caller(81).sendSYN().Action, "the store is down")
-	f.core.PeerAnswered(f.now, 100*time.Millisecond)
-	require.Equal(t, Reset, f.caller(81).sendSYN().Action, "the store answers another host")
-	empty := New("a", testFormat{}, 0)
-	g := &fixture{t: t, core: empty, now: f.now}
-	require.Equal(t, Drop, g.caller(81).sendSYN().Action, "no configuration yet")
-}
-
 func TestLapsedRegistrationHasGracePeriod(t *testing.T) {
 	f := newFixture(t)
 	c := f.openFlow(orderPort)
@@ -51,6 +35,7 @@
 	require.Equal(t, Forward, c.retransmit().Action)
 	f.unregister(u.Key)
 	f.advance(lapseGrace + time.Millisecond)
+	f.confirm()
 	require.Equal(t, Reset, c.retransmit().Action)
 	require.Equal(t, ReasonUpstreamGone, c.last.Reason)
 }
@@ -76,6 +61,7 @@
 	c.request()
 	c.ackAnswer()
 	f.advance(200 * time.Millisecond)
+	f.confirm()
 	require.Equal(t, Forward, c.request().Action)
 	require.True(t, u.gone)
 }
@@ -135,6 +121,7 @@
 	}
 	f.unregister(twin.Key)
 	f.advance(lapseGrace + time.Millisecond)
+	f.confirm()
 	f.runTraffic(time.Second, nil)
 	require.False(t, f.core.byKey["u1"].tokenShared)
 }
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -10,14 +10,13 @@
 )
 
 const (
-	// noRouteMaxAge is the longest time since the last answer of the store after which a flow
-	// without a route is still reset: two watches of 2 s with their timeouts. After a longer time,
-	// the configuration may be out of date.
-	noRouteMaxAge = 6 * time.Second
-	// noRouteMaxAgeStoreDown applies instead while the store does not answer this host, which then
+	// refuseMaxAge is the age of the confirmed directory up to which the first SYN to an address
+	// without a route is refused at once. It limits the calls to the store that such SYNs cause.
+	refuseMaxAge = 500 * time.Millisecond
+	// refuseMaxAgeStoreDown applies instead while the store does not answer this host, which then
 	// follows another host. That host sends an update or a heartbeat at least every 0.4 s; the limit
 	// is three of these intervals.
-	noRouteMaxAgeStoreDown = 1200 * time.Millisecond
+	refuseMaxAgeStoreDown = 1200 * time.Millisecond
 	// resyncInterval is the minimum time between two requests for a full read of the directory.
 	resyncInterval = time.Second
 	// maxUnknownTokens bounds the unknown tokens that await a full read.
@@ -38,6 +37,7 @@
 	format   Format
 	cache    flowCache
 	waiters  waiters
+	unrouted unrouted
 
 	byKey       map[string]*upstream
 	tokens      map[Token]*upstream
@@ -72,6 +72,7 @@
 	// from another host.
 	fullReadAt   time.Duration
 	nextResyncAt time.Duration
+	confirmation confirmation
 	// unknownTokens maps each token without a known upstream to when it was first seen.
 	unknownTokens map[Token]time.Duration
 
@@ -100,6 +101,7 @@
 		zones:         make(map[string]*zone),
 		routes:        make(map[netip.AddrPort]*route),
 		waiters:       newWaiters(),
+		unrouted:      newUnrouted(),
 		unknownTokens: make(map[Token]time.Duration),
 	}
 }
@@ -181,6 +183,7 @@
 	}
 	c.cache.expire(now)
 	c.waiters.expire(now)
+	c.unrouted.expire(now)
 }
 
 // handleSYN decides on the SYN of a flow or a retransmission of it.
@@ -281,15 +284,26 @@
 	return Effect{Action: Forward, Reason: reason, To: u.Addr, ID: u.ID, Token: u.token}
 }
 
-// handleNoRoute decides on a packet to an address without a route. The flow is reset only if the
-// store has answered recently enough. Otherwise a newer configuration, which this host does not
-// have, may contain the route.
+// handleNoRoute decides on a packet to an address without a route. A newer configuration, which
+// this host does not have yet, may contain the route. An open flow, and a SYN that is not the first
+// one of its flow, are reset once the directory is confirmed up to the arrival of the packet.
 func (c *Core) handleNoRoute(now time.Duration, p *Packet) Effect {
-	if age := now - c.storeAnsweredAt; age > noRouteMaxAge || c.storeDown && age > noRouteMaxAgeStoreDown {
-		return Effect{Action: Drop, Reason: ReasonStaleConfiguration}
+	if p.SYN && p.SYNRetransmits == 0 && c.refusesAtOnce(now) {
+		c.emitReset(now, p, nil, ReasonNoRoute)
+		return Effect{Action: Reset, Reason: ReasonNoRoute}
 	}
-	c.emitReset(now, p, nil, ReasonNoRoute)
-	return Effect{Action: Reset, Reason: ReasonNoRoute}
+	c.unrouted.add(now, p)
+	c.isConfirmed(now, now)
+	return Effect{Action: Drop, Reason: ReasonStaleConfiguration}
+}
+
+// refusesAtOnce reports whether the directory is recent enough to refuse the first SYN to an
+// address without a route.
+func (c *Core) refusesAtOnce(now time.Duration) bool {
+	if c.storeDown {
+		return now-c.storeAnsweredAt <= refuseMaxAgeStoreDown
+	}
+	return now-c.confirmation.at <= refuseMaxAge
 }
 
 func (c *Core) emitReset(now time.Duration, p *Packet, u *upstream, reason Reason) {
@@ -327,9 +341,6 @@
 			// The configuration of a host that just started may be the older one of a restored store.
 			return Effect{Action: Drop, Reason: ReasonStaleConfiguration}
 		}
-		if f != nil {
-			c.cache.remove(f)
-		}
 		return c.handleNoRoute(now, p)
 	}
 	if f == nil {
--- a/internal/dsr/fixture_test.go
+++ b/internal/dsr/fixture_test.go
@@ -112,9 +112,14 @@
 	return f
 }
 
+// serviceAddress returns the address of a route with the port.
+func serviceAddress(port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), port)
+}
+
 func configuration(version uint64) *directory.Configuration {
 	target := []directory.Target{{Service: "orders", Weight: 1}}
-	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), port) }
+	at := serviceAddress
 	return &directory.Configuration{Version: version, Revision: store.Revision(version), Routes: []directory.Route{
 		{Name: "stream", Addr: at(streamPort), Targets: target, Idempotent: true},
 		{Name: "order", Addr: at(orderPort), Targets: target},
@@ -142,6 +147,9 @@
 	f.core.Apply(f.now, ch)
 }
 
+// confirm confirms the directory up to now.
+func (f *fixture) confirm() { f.core.Confirmed(f.now, f.now) }
+
 func (f *fixture) caller(port uint16) *caller {
 	f.next++
 	return &caller{f: f, id: f.next, port: port, seq: 100}
--- a/internal/dsr/loadworld_test.go
+++ b/internal/dsr/loadworld_test.go
@@ -16,6 +16,7 @@
 // Delays and habits of callers and upstreams in a loadWorld, as on the platform.
 const (
 	loadTransit       = time.Millisecond
+	storeRoundTrip    = 5 * time.Millisecond
 	loadAttemptTime   = 1400 * time.Millisecond
 	loadQueuePerSlot  = 5
 	loadQueueTime     = 950 * time.Millisecond
@@ -299,7 +300,11 @@
 		return Effect{Action: Drop}
 	}
 	hosts := f.world.zones[f.zone]
-	_, e := hosts[int(uint32(f.caller.Port())*2654435761>>16)%len(hosts)].HandlePacket(f.world.Now(), b[:])
+	host := hosts[int(uint32(f.caller.Port())*2654435761>>16)%len(hosts)]
+	_, e := host.HandlePacket(f.world.Now(), b[:])
+	if asked := f.world.Now(); host.TakeConfirmRequest() {
+		f.world.After(storeRoundTrip, func() { host.Confirmed(f.world.Now(), asked) })
+	}
 	return e
 }
 
--- a/internal/dsr/storestate.go
+++ b/internal/dsr/storestate.go
@@ -18,11 +18,12 @@
 	}
 }
 
-// PeerAnswered records an update or a heartbeat from another host. storeAge is the time since the
-// store last answered that host; negative means never.
+// PeerAnswered records an update or a heartbeat from another host, after the update was applied.
+// storeAge is the time since the store last answered that host; negative means never.
 func (c *Core) PeerAnswered(now, storeAge time.Duration) {
 	if storeAge >= 0 {
 		c.storeAnsweredAt = max(c.storeAnsweredAt, now-storeAge)
+		c.resetUnrouted(now)
 	}
 }
 
--- a/internal/dsrhost/decide.go
+++ b/internal/dsrhost/decide.go
@@ -55,6 +55,10 @@
 			d.updateGauges()
 			d.updatePosition()
 		}
+		d.sendWaitingResets()
+		if d.core.TakeConfirmRequest() {
+			h.feed.requestConfirmation()
+		}
 		d.log.write(d.core.TakeRecords())
 		h.stats.observeSamples(d.core.TakeSamples())
 	}
@@ -68,7 +72,7 @@
 	head, e := d.core.HandlePacket(d.host.elapsed(), body)
 	d.host.stats.countPacket(e)
 	if e.Resync {
-		d.host.requestResync()
+		d.host.feed.requestResync()
 	}
 	switch e.Action {
 	case dsr.Forward:
@@ -78,6 +82,10 @@
 	case dsr.Reset:
 		d.sendReset(head)
 	}
+}
+
+// sendWaitingResets sends the resets of flows other than that of the handled packet.
+func (d *coreLoop) sendWaitingResets() {
 	for _, r := range d.core.TakeResets() {
 		d.host.stats.waitingFlowResets.Inc()
 		d.sendReset(&r)
@@ -112,11 +120,13 @@
 		d.core.Apply(now, e.change)
 		d.publishReadiness()
 	case feedPeerUpdate:
-		d.core.PeerAnswered(now, e.storeAge)
 		if e.change != nil {
 			d.core.Apply(now, e.change)
 			d.publishReadiness()
 		}
+		d.core.PeerAnswered(now, e.storeAge)
+	case feedConfirmed:
+		d.core.Confirmed(now, e.confirmedAt)
 	}
 }
 
--- a/internal/dsrhost/feed.go
+++ b/internal/dsrhost/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,6 +55,8 @@
 	feedFailed
 	// feedPeerUpdate is a message from another host, with or without a change.
 	feedPeerUpdate
+	// feedConfirmed is a read of the store that confirms the directory.
+	feedConfirmed
 )
 
 // feedEvent is an event from the feed to the core's goroutine.
@@ -64,6 +67,8 @@
 	reason string
 	// storeAge is the time since the store last answered the sender of a feedPeerUpdate; negative if it never did.
 	storeAge time.Duration
+	// confirmedAt is when the read of a feedConfirmed event was requested, as the time since the start.
+	confirmedAt time.Duration
 }
 
 // feed lists and watches the store and sends changes to the core's goroutine.
@@ -75,9 +80,14 @@
 	minWatchInterval time.Duration
 	elapsed          func() time.Duration
 	out              chan<- feedEvent
-	// resync requests a full read.
-	resync <-chan struct{}
-	stats  *stats
+	// resync requests a full read, confirm a confirmation of the directory.
+	resync  chan struct{}
+	confirm chan struct{}
+	stats   *stats
+	// mu is held from a change of the replica until the core's goroutine has its event, so that a
+	// confirmation reaches the core after all that it confirms. It guards awaited.
+	mu      sync.Mutex
+	awaited *awaitedConfirmation
 	// lastAnswer is when the store last answered, in nanoseconds since the start; zero
 	// is never. failing is set while the last call has failed.
 	lastAnswer atomic.Int64
@@ -169,12 +179,7 @@
 }
 
 // resumeReading wakes waitWhileDelegated after delegation ended.
-func (f *feed) resumeReading() {
-	select {
-	case f.resume <- struct{}{}:
-	default:
-	}
-}
+func (f *feed) resumeReading() { signal(f.resume) }
 
 // recordAnswer records the time of an answer of the store.
 func (f *feed) recordAnswer() {
@@ -205,6 +210,17 @@
 	return storeAge < 0 || storeAge > peerFallbackDelay
 }
 
+// requestResync requests a full read of the store.
+func (f *feed) requestResync() { signal(f.resync) }
+
+// signal sends to a channel with a buffer of one, unless it is full.
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // sleep waits for a duration or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -269,8 +285,8 @@
 	if entry.Modified != 0 {
 		u.Events = append(u.Events, store.Event{Entry: entry})
 	}
-	f.recordAnswer()
 	f.applyFullRead(ctx, u, started)
+	f.recordAnswer()
 	return nil
 }
 
@@ -278,11 +294,13 @@
 // replica's, which may be newer than the read and has what the store lost.
 func (f *feed) applyFullRead(ctx context.Context, u replica.Update, started time.Duration) {
 	held := f.replica.Position()
-	fresh, isNew := f.replica.Apply(u)
 	if held.IsZero() && f.greeted != nil {
+		f.replica.Apply(u)
 		f.awaitGreeting(ctx)
-		isNew = false
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fresh, isNew := f.replica.Apply(u)
 	if !isNew {
 		fresh = f.replica.Snapshot()
 	}
@@ -291,6 +309,7 @@
 		zap.Uint64("held_revision", uint64(held.Revision)), zap.Int("kept", f.replica.Kept()), zap.Int("upstreams", len(ch.Upstreams)), zap.Int("unusable", len(ch.Removed)))...)
 	ch.RequestedAt = started
 	f.send(ctx, feedEvent{kind: feedChange, change: ch})
+	f.announceConfirmation(ctx)
 }
 
 // awaitGreeting waits until greeted is closed, at most startupPeerWait.
@@ -314,22 +333,45 @@
 	if err != nil {
 		return err
 	}
+	f.applyWatch(ctx, replica.Update{Era: next.Era, AtRevision: max(at.Revision, next.Revision), Events: f.translator.filterEvents(events)})
 	f.recordAnswer()
-	u := replica.Update{Era: next.Era, AtRevision: max(at.Revision, next.Revision), Events: f.translator.filterEvents(events)}
+	f.dropExpired(ctx)
+	if took := f.elapsed() - started; took < f.minWatchInterval {
+		sleep(ctx, f.minWatchInterval-took)
+	}
+	return nil
+}
+
+// applyWatch applies the answer of a watch and passes it to the core.
+func (f *feed) applyWatch(ctx context.Context, u replica.Update) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if fresh, ok := f.replica.Apply(u); ok && len(fresh.Events) > 0 {
 		f.send(ctx, feedEvent{kind: feedChange, change: f.translator.change(fresh)})
 	} else {
 		f.send(ctx, feedEvent{kind: feedAnswered})
 	}
-	f.dropExpired(ctx)
-	if took := f.elapsed() - started; took < f.minWatchInterval {
-		sleep(ctx, f.minWatchInterval-took)
+	f.announceConfirmation(ctx)
+}
+
+// applyFromPeer applies an update from another host, empty for a heartbeat, and passes it to the
+// core. storeAge is the time since the store last answered that host.
+func (f *feed) applyFromPeer(ctx context.Context, u replica.Update, storeAge time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := feedEvent{kind: feedPeerUpdate, storeAge: storeAge}
+	if fresh, ok := f.replica.Apply(u); ok {
+		e.change = f.translator.change(fresh)
+		e.change.FromPeer = true
 	}
-	return nil
+	f.send(ctx, e)
+	f.announceConfirmation(ctx)
 }
 
 // dropExpired drops registrations that the store lost and that were not written again.
 func (f *feed) dropExpired(ctx context.Context) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if u, ok := f.replica.DropExpired(); ok {
 		f.log.Info("registrations lost by the store are dropped", positionFields(u.Position(), zap.Int("items", len(u.Events)))...)
 		f.send(ctx, feedEvent{kind: feedChange, change: f.translator.change(u)})
--- a/internal/dsrhost/feed_test.go
+++ b/internal/dsrhost/feed_test.go
@@ -29,6 +29,9 @@
 	watches []watchAnswer
 	after   []store.Position
 	lists   int
+	// position is the page of a read of the store's position, positions the number of these reads.
+	position  store.Page
+	positions int
 }
 
 // watchAnswer is the prepared result of a watch.
@@ -45,9 +48,13 @@
 	return s.config, nil
 }
 
-func (s *scriptedStore) List(_ context.Context, _, after string, _ int) (store.Page, error) {
+func (s *scriptedStore) List(_ context.Context, prefix, after string, _ int) (store.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if prefix == testLayout.ConfigurationKey {
+		s.positions++
+		return s.position, nil
+	}
 	if after == "" {
 		s.lists++
 	}
@@ -108,7 +115,7 @@
 	elapsed := func() time.Duration { return time.Since(began) }
 	tr := &translator{layout: testLayout, log: log, stats: st}
 	f := &feed{
-		store: s, translator: tr, replica: replica.New(tr, elapsed), log: log, elapsed: elapsed, out: events, resync: make(chan struct{}), stats: st,
+		store: s, translator: tr, replica: replica.New(tr, elapsed), log: log, elapsed: elapsed, out: events, resync: make(chan struct{}, 1), confirm: make(chan struct{}, 1), stats: st,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/dsrhost/host.go
+++ b/internal/dsrhost/host.go
@@ -55,8 +55,6 @@
 
 	packets *ring.Ring[packet]
 	events  chan feedEvent
-	// resync requests a full read of the store.
-	resync chan struct{}
 	// stateRequests carries requests for the state to the core's goroutine.
 	stateRequests chan chan *dsr.State
 	replica       *replica.Replica
@@ -83,7 +81,6 @@
 		started:       time.Now(),
 		packets:       ring.New[packet](packetRingSize),
 		events:        make(chan feedEvent, feedQueueSize),
-		resync:        make(chan struct{}, 1),
 		stateRequests: make(chan chan *dsr.State),
 	}
 	h.stats = newStats(d.LogOutput)
@@ -91,7 +88,8 @@
 	h.replica = replica.New(h.translator, h.elapsed)
 	h.feed = &feed{
 		store: d.Store, translator: h.translator, replica: h.replica, log: h.translator.log,
-		minWatchInterval: d.Settings.ApplyWithin / watchIntervalDivisor, elapsed: h.elapsed, out: h.events, resync: h.resync, resume: make(chan struct{}, 1), stats: h.stats,
+		minWatchInterval: d.Settings.ApplyWithin / watchIntervalDivisor, elapsed: h.elapsed, out: h.events,
+		resync: make(chan struct{}, 1), confirm: make(chan struct{}, 1), resume: make(chan struct{}, 1), stats: h.stats,
 	}
 	h.stats.registerFeed(h.feed)
 	if err := h.listen(ctx); err != nil {
@@ -117,7 +115,7 @@
 		h.peer, err = dsrpeer.Listen(dsrpeer.Settings{
 			Control: s.Control, Zone: s.Zone, Contacts: s.Contacts, Replica: h.replica,
 			Delegate: s.ApplyWithin >= minDelegateApplyTime, NeedsPeers: h.feed.needsPeers, StoreAge: h.feed.storeAge,
-			StoreFailing: h.feed.failing.Load, ResumeReading: h.feed.resumeReading, Resync: h.requestResync, ApplyUpdate: h.applyFromPeer, Log: logging.ForComponent(h.deps.Logger, "peer"), Now: h.elapsed,
+			StoreFailing: h.feed.failing.Load, ResumeReading: h.feed.resumeReading, Resync: h.feed.requestResync, ApplyUpdate: h.applyFromPeer, Log: logging.ForComponent(h.deps.Logger, "peer"), Now: h.elapsed,
 		})
 		if err != nil {
 			return err
@@ -153,23 +151,10 @@
 
 // applyFromPeer applies an update from another host to the replica and passes it to the core.
 func (h *Host) applyFromPeer(ctx context.Context, u replica.Update, storeAge time.Duration) {
-	e := feedEvent{kind: feedPeerUpdate, storeAge: storeAge}
-	if fresh, ok := h.replica.Apply(u); ok {
-		e.change = h.translator.change(fresh)
-		e.change.FromPeer = true
-	}
-	h.feed.send(ctx, e)
+	h.feed.applyFromPeer(ctx, u, storeAge)
 	h.feed.dropExpired(ctx)
 }
 
-// requestResync requests a full read of the store.
-func (h *Host) requestResync() {
-	select {
-	case h.resync <- struct{}{}:
-	default:
-	}
-}
-
 // elapsed returns the time since the start of the host.
 func (h *Host) elapsed() time.Duration { return time.Since(h.started) }
 
@@ -182,6 +167,7 @@
 	failures := make(chan error, 4)
 	var tasks sync.WaitGroup
 	tasks.Go(func() { h.feed.run(ctx) })
+	tasks.Go(func() { h.feed.runConfirmations(ctx) })
 	tasks.Go(func() { failures <- h.readPackets(ctx) })
 	tasks.Go(func() { failures <- h.ready.run() })
 	tasks.Go(func() { h.runCore(ctx) })
--- a/internal/dsrhost/stats.go
+++ b/internal/dsrhost/stats.go
@@ -19,7 +19,6 @@
 	sendFailed, malformedItems           *metrics.Counter
 	handshakeTimeouts, waitingFlowResets *metrics.Counter
 	handshakes, answers                  *metrics.Histogram
-	storeResults                         map[string]*metrics.Counter
 	packets                              map[dsr.Effect]*metrics.Counter
 	flows, version, configurationAge     atomic.Int64
 }
@@ -29,6 +28,8 @@
 	opList  = "list"
 	opGet   = "get"
 	opWatch = "watch"
+	// opPosition is a read of the store's position.
+	opPosition = "position"
 )
 
 func newStats(lines *logging.Bounded) *stats {
@@ -43,7 +44,6 @@
 		handshakeTimeouts: set.NewCounter("mimosashore_dsr_unfinished_handshakes_total"),
 		handshakes:        set.NewHistogram("mimosashore_dsr_handshake_seconds"),
 		answers:           set.NewHistogram("mimosashore_dsr_answer_seconds"),
-		storeResults:      make(map[string]*metrics.Counter),
 		packets:           make(map[dsr.Effect]*metrics.Counter),
 	}
 	set.NewGauge("mimosashore_dsr_flows", func() float64 { return float64(s.flows.Load()) })
@@ -80,13 +80,7 @@
 	if err != nil {
 		result = "failed"
 	}
-	key := fmt.Sprintf("mimosashore_dsr_store_calls_total{op=%q,result=%q}", op, result)
-	c := s.storeResults[key]
-	if c == nil {
-		c = s.set.NewCounter(key)
-		s.storeResults[key] = c
-	}
-	c.Inc()
+	s.set.GetOrCreateCounter(fmt.Sprintf("mimosashore_dsr_store_calls_total{op=%q,result=%q}", op, result)).Inc()
 }
 
 // countPacket counts a decision about a packet by action and reason.
