dsr: an upstream is gone only when its absence is confirmed

A registration lapses, and the host keeps the upstream for 2.2 s of grace. If it does not hear of the registration's return, because its reader of the store is cut off or the store's watches hear nothing for a moment, it took the upstream for gone at the end of the grace, and reset open flows of a live upstream. Nobody has seen it happen; the test shows it: TestLapsedUpstreamIsNotGoneBeforeItsAbsenceIsConfirmed failed before (reset after the third second), with heartbeats that name an answer of the store 0.1 s ago.

The upstream now stays until the directory is confirmed up to the end of the grace, by the read that unrouted flows use. Cost: one small call a lapse and host.

--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -214,12 +214,12 @@
 	}
 }
 
-// expireUpstreams marks upstreams as gone whose registration lapsed more than lapseGrace ago, and
-// removes tokens of upstreams gone for more than goneRetention.
+// expireUpstreams marks upstreams as gone whose registration lapsed more than lapseGrace ago and is
+// confirmed to have stayed away until then, and removes tokens of upstreams gone for more than goneRetention.
 func (c *Core) expireUpstreams(now time.Duration) {
 	for len(c.lapsedList) > 0 {
 		u := c.lapsedList[0]
-		if u.removeAt != 0 && now < u.removeAt {
+		if u.removeAt != 0 && (now < u.removeAt || !c.isConfirmed(now, u.removeAt)) {
 			break
 		}
 		c.lapsedList = c.lapsedList[1:]
--- a/internal/dsr/confirm_test.go
+++ b/internal/dsr/confirm_test.go
@@ -114,6 +114,27 @@
 	require.Len(t, f.core.TakeResets(), 1)
 }
 
+// Guards against resets of the flows of an upstream whose registration lapsed and is back, by a
+// host that did not hear of it: its reader was cut off from the store in between.
+func TestLapsedUpstreamIsNotGoneBeforeItsAbsenceIsConfirmed(t *testing.T) {
+	f := newFixture(t)
+	c := f.openFlow(orderPort)
+	u := f.upstream(c)
+	f.unregister(u.Key)
+	for range 3 {
+		f.advance(time.Second)
+		f.core.PeerAnswered(f.now, 100*time.Millisecond)
+		require.Equal(t, Forward, c.request().Action)
+	}
+	require.True(t, f.core.TakeConfirmRequest())
+	back := u.Upstream
+	f.register(back)
+	f.confirm()
+	f.advance(2 * lapseGrace)
+	require.Equal(t, Forward, c.request().Action)
+	require.Same(t, u, f.core.byKey[u.Key])
+}
+
 // More flows than the table holds, and flows that no confirmation comes for, do not stay in it.
 func TestFlowsThatAwaitConfirmationAreBounded(t *testing.T) {
 	f := newFixture(t)
