dsr, dsrpeer: a removed registration proves nothing while the store may be down

A draining upstream is gone as soon as its registration is removed, unless the store has just returned, since registrations lapse in an outage. Two kinds of hosts did not know of the outage: one that the store turns away hears of removals from another host, and one whose reader lost the store may find it answering again at its own first call. Not seen; TestDrainingUpstreamIsNotGoneAtOnceWhileStoreDoesNotAnswer failed before with a reset, and TestTwoHostsPerZoneReadStoreForOthers asks for the report, which did not exist.

While the store does not answer a host, the removal starts the grace instead; and the end of a delegation because the store no longer answers the reader counts as an outage of the follower too.

--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -70,13 +70,13 @@
 }
 
 // removeRegistration handles the removal of a registration. An upstream that was draining is gone
-// at once, unless the store has just returned. Any other stays for lapseGrace, since registrations
-// also lapse while the store is down.
+// at once, unless the store has just returned or does not answer this host. Any other stays for
+// lapseGrace, since registrations also lapse while the store is down.
 func (c *Core) removeRegistration(now time.Duration, u *upstream) {
 	if u.gone || u.removeAt != 0 {
 		return
 	}
-	if u.Draining && now >= c.storeSettledAt {
+	if u.Draining && now >= c.storeSettledAt && !c.storeDown {
 		c.markGone(now, u, "left after draining")
 		return
 	}
--- a/internal/dsr/confirm_test.go
+++ b/internal/dsr/confirm_test.go
@@ -135,6 +135,24 @@
 	require.Same(t, u, f.core.byKey[u.Key])
 }
 
+// Registrations also lapse while the store is down, which a host that follows another one can't
+// tell from an upstream that has left.
+func TestDrainingUpstreamIsNotGoneAtOnceWhileStoreDoesNotAnswer(t *testing.T) {
+	f := newFixture(t)
+	c := f.openFlow(orderPort)
+	d := f.upstream(c).Upstream
+	d.Draining = true
+	f.register(d)
+	f.advance(2 * unregisteredGrace)
+	f.core.StoreFailed(f.now, "test")
+	f.rev++
+	f.core.Apply(f.now, &directory.Change{Revision: f.rev, Removed: []directory.Removal{{Key: d.Key, Revision: f.rev}}})
+	require.Equal(t, Forward, c.request().Action)
+	f.advance(lapseGrace + peerAnswerDelay)
+	f.core.PeerAnswered(f.now, 0)
+	require.Equal(t, Reset, c.retransmit().Action)
+}
+
 // More flows than the table holds, and flows that no confirmation comes for, do not stay in it.
 func TestFlowsThatAwaitConfirmationAreBounded(t *testing.T) {
 	f := newFixture(t)
--- a/internal/dsrhost/feed.go
+++ b/internal/dsrhost/feed.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"mimosashore.example/mimosashore/internal/directory"
@@ -250,6 +251,13 @@
 	f.send(ctx, feedEvent{kind: feedFailed, reason: err.Error()})
 }
 
+// errReaderLostStore is the failure that a host reports when its reader lost the store.
+var errReaderLostStore = eris.New("the store does not answer the host that reads it for this one")
+
+// reportReaderLostStore reports that the store failed the host that reads it for this one. That
+// counts as an outage here too: registrations that lapsed meanwhile prove nothing.
+func (f *feed) reportReaderLostStore(ctx context.Context) { f.reportFailure(ctx, errReaderLostStore) }
+
 // list makes a full read. Its position is that of the first page, so that the next
 // watch repeats the writes made during the listing. It fails with FaultRestored if the
 // store was restored meanwhile.
--- a/internal/dsrhost/host.go
+++ b/internal/dsrhost/host.go
@@ -115,7 +115,7 @@
 		h.peer, err = dsrpeer.Listen(dsrpeer.Settings{
 			Control: s.Control, Zone: s.Zone, Contacts: s.Contacts, Replica: h.replica,
 			Delegate: s.ApplyWithin >= minDelegateApplyTime, NeedsPeers: h.feed.needsPeers, StoreAge: h.feed.storeAge,
-			StoreFailing: h.feed.failing.Load, ResumeReading: h.feed.resumeReading, Resync: h.feed.requestResync, ApplyUpdate: h.applyFromPeer, Log: logging.ForComponent(h.deps.Logger, "peer"), Now: h.elapsed,
+			StoreFailing: h.feed.failing.Load, ResumeReading: h.feed.resumeReading, ReaderLostStore: h.feed.reportReaderLostStore, Resync: h.feed.requestResync, ApplyUpdate: h.applyFromPeer, Log: logging.ForComponent(h.deps.Logger, "peer"), Now: h.elapsed,
 		})
 		if err != nil {
 			return err
--- a/internal/dsrpeer/follow.go
+++ b/internal/dsrpeer/follow.go
@@ -71,6 +71,9 @@
 		p.storeReader.Store(&host)
 		err = p.follow(ctx, ws, n, readsStore)
 		p.storeReader.Store(nil)
+		if err == nil {
+			p.settings.ReaderLostStore(ctx)
+		}
 		p.settings.ResumeReading()
 		p.settings.Log.Info("reading the store again", zap.Stringer("host", host), zap.Error(err))
 		return
--- a/internal/dsrpeer/peer.go
+++ b/internal/dsrpeer/peer.go
@@ -82,6 +82,9 @@
 	Resync func()
 	// ResumeReading is called when this host has to read the store itself again.
 	ResumeReading func()
+	// ReaderLostStore is called before ResumeReading if the reason is that the store no longer
+	// answers the host that read it for this one.
+	ReaderLostStore func(ctx context.Context)
 	// ApplyUpdate is called with an update from another host, empty for a heartbeat,
 	// and the time since the store last answered that host.
 	ApplyUpdate func(ctx context.Context, u replica.Update, storeAge time.Duration)
--- a/internal/dsrpeer/peer_test.go
+++ b/internal/dsrpeer/peer_test.go
@@ -33,6 +33,7 @@
 	// storeAge is the time since the last store answer that the host reports, in nanoseconds.
 	storeAge          atomic.Int64
 	resumed, resyncs  atomic.Int32
+	readerLost        atomic.Int32
 	mu                sync.Mutex
 	receivedStoreAges []time.Duration
 	// stop ends the host and waits for its goroutines.
@@ -57,6 +58,7 @@
 		Zone: "a", Delegate: true,
 		NeedsPeers: h.needsPeers.Load, StoreAge: func() time.Duration { return time.Duration(h.storeAge.Load()) },
 		StoreFailing: h.storeFailing.Load, ResumeReading: func() { h.resumed.Add(1) }, Resync: func() { h.resyncs.Add(1) },
+		ReaderLostStore: func(context.Context) { h.readerLost.Add(1) },
 		ApplyUpdate: func(_ context.Context, u replica.Update, age time.Duration) {
 			h.replica.Apply(u)
 			h.mu.Lock()
@@ -189,6 +191,7 @@
 	}, 5*time.Second, 10*time.Millisecond)
 	for _, h := range hosts {
 		require.True(t, h.storeFailing.Load() || h.resumed.Load() > 0)
+		require.True(t, h.storeFailing.Load() || h.readerLost.Load() > 0, "an outage of the store")
 	}
 }
 
