replica: a full read has its entries in the order of their keys

No rule depends on the order, but what hosts log, send to others and apply should not differ from run to run. Entries are sorted by key.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -8,6 +8,8 @@
 package replica
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -171,7 +173,7 @@
 	return out
 }
 
-// events returns the entries that hold.
+// events returns the entries that hold, sorted by key.
 func (r *Replica) events() []store.Event {
 	out := make([]store.Event, 0, len(r.items)+len(r.kept))
 	expired := r.now() >= r.keptUntil
@@ -185,6 +187,7 @@
 			out = append(out, store.Event{Entry: e})
 		}
 	}
+	slices.SortFunc(out, func(a, b store.Event) int { return cmp.Compare(a.Entry.Key, b.Entry.Key) })
 	return out
 }
 
