--- a/internal/dsrhost/feed_test.go
+++ b/internal/dsrhost/feed_test.go
@@ -265,7 +265,8 @@
 		return s.lists > 1
 	}, 5*time.Second, time.Millisecond)
 	s.mu.Lock()
-	s.pages[0].Era, s.pages[0].At, s.pages[0].Entries[0].Era = 2, 18, 2
+	// A new page: the feed may still read the entries of the old one.
+	s.pages = []store.Page{{At: 18, Era: 2, More: true, Entries: []store.Entry{inEra(entry("up/a", "orders", 5), 2)}}, s.pages[1]}
 	s.mu.Unlock()
 	require.ElementsMatch(t, []string{"up/a", "up/b"}, upstreamKeys((<-events).change))
 }
