--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -69,8 +69,10 @@
 // Configuration is an accepted version of the routes.
 type Configuration struct {
 	// Version is the operators' number of the configuration. Later ones have higher numbers.
-	Version  uint64
-	Routes   []Route
+	Version uint64
+	Routes  []Route
+	// Services holds the names of the services that the configuration declares.
+	Services []string
 	Era      store.Era
 	Revision store.Revision
 	// Skipped is the number of routes that could not be decoded.
