dsr: an entry that names an unknown service doesn't replace a live upstream

Such an entry counts as unreadable now: the upstream keeps its open flows and gets no new ones until it writes again. If a later configuration declares the service, the entry is applied then. TestEntryWithUnknownServiceKeepsUpstream failed before with a reset.

--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -34,10 +34,7 @@
 		switch {
 		case u == nil || r.Position().Compare(u.Position()) <= 0:
 		case r.Malformed:
-			// The key may have been overwritten by another writer, so the upstream keeps its open
-			// flows.
-			u.unreadable = true
-			u.service.sharesStale = true
+			u.setUnreadable(nil)
 		default:
 			c.removeRegistration(now, u)
 		}
@@ -125,12 +122,18 @@
 		}
 		wasLost := u.lost && d.Era == u.Era
 		u.Upstream = *d
-		u.unreadable = false
+		u.unreadable, u.unknownService = false, nil
 		if !wasLost {
 			u.removeAt, u.lost = 0, false
 		}
 		return
 	}
+	if u != nil && d.Service != u.Service && c.configured && !c.declared[d.Service] {
+		c.emit(Record{Event: "registration names an unknown service", Upstream: d.Key, Service: d.Service, Version: c.version, Era: uint64(d.Era), Revision: uint64(d.Revision)})
+		other := *d
+		u.setUnreadable(&other)
+		return
+	}
 	if u != nil {
 		c.markGone(now, u, "restarted")
 	}
@@ -148,6 +151,27 @@
 	c.emit(Record{Event: "upstream registered", Upstream: d.Key, Service: d.Service, Token: n.token, To: d.Addr, Era: uint64(d.Era), Revision: uint64(d.Revision)})
 }
 
+// setUnreadable handles a registration that names no upstream: of another writer, which may have
+// overwritten that of the upstream. The upstream keeps its open flows. If an unknown service is
+// the reason, the registration is kept until a configuration declares the service.
+func (u *upstream) setUnreadable(d *directory.Upstream) {
+	u.unreadable, u.unknownService = true, d
+	u.service.sharesStale = true
+}
+
+// applyUnknownServices applies the registrations whose services are declared by now.
+func (c *Core) applyUnknownServices(now time.Duration) {
+	var declared []*directory.Upstream
+	for _, u := range c.byKey {
+		if d := u.unknownService; d != nil && c.declared[d.Service] {
+			declared = append(declared, d)
+		}
+	}
+	for _, d := range declared {
+		c.applyUpstream(now, d)
+	}
+}
+
 func (c *Core) zoneOf(name string) *zone {
 	z := c.zones[name]
 	if z == nil {
--- a/internal/dsr/apply_test.go
+++ b/internal/dsr/apply_test.go
@@ -1,6 +1,7 @@
 package dsr
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -134,3 +135,29 @@
 	f.register(next)
 	require.Equal(t, Reset, c.request().Action, "the new incarnation does not have the flow")
 }
+
+// Guards against an entry of another writer under the key of a live upstream, which was taken for a
+// restart of the upstream and moved it to another service.
+func TestEntryWithUnknownServiceKeepsUpstream(t *testing.T) {
+	f := newFixture(t)
+	c := f.openFlow(orderPort)
+	u := f.upstream(c)
+	own, other := u.Upstream, u.Upstream
+	other.Service, other.Incarnation, other.Addr = "other", own.Incarnation+5, netip.MustParseAddrPort("10.9.9.9:9")
+	f.register(other)
+	require.Equal(t, Forward, c.request().Action)
+	require.Equal(t, own.Addr, c.last.To)
+	for range 20 {
+		n := f.caller(streamPort)
+		n.sendSYN()
+		require.NotEqual(t, own.Addr, n.last.To, "it may be gone as well")
+	}
+	f.register(own)
+	require.True(t, u.usable())
+	f.register(other)
+	declared := configuration(30)
+	declared.Services = []string{"other"}
+	f.core.Apply(f.now, &directory.Change{Revision: 30, Configuration: declared})
+	require.Equal(t, "other", f.core.byKey[u.Key].Service, "a service that is declared later")
+	require.Equal(t, Reset, c.request().Action)
+}
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -55,6 +55,8 @@
 	configEra      store.Era
 	configuredAt   time.Duration
 	routes         map[netip.AddrPort]*route
+	// declared holds the services that the configuration names.
+	declared map[string]bool
 
 	// era is the latest known era of the store.
 	era store.Era
@@ -139,6 +141,10 @@
 	c.configured, c.version, c.configEra, c.configRevision, c.configuredAt = true, n.Version, n.Era, n.Revision, now
 	old := c.routes
 	c.routes = make(map[netip.AddrPort]*route, len(n.Routes))
+	c.declared = make(map[string]bool, len(n.Services))
+	for _, name := range n.Services {
+		c.declared[name] = true
+	}
 	for _, s := range c.services {
 		s.latencyObjective, s.lowestPriority = 0, 0
 	}
@@ -146,11 +152,13 @@
 		r := &route{Route: n.Routes[i]}
 		for _, t := range r.Targets {
 			r.totalWeight += t.Weight
+			c.declared[t.Service] = true
 			c.serviceOf(t.Service).addRoute(r)
 		}
 		c.routes[r.Addr] = r
 	}
 	c.emit(Record{Event: "configuration in force", Version: n.Version, Era: uint64(n.Era), Revision: uint64(n.Revision), Considered: len(n.Routes), Suspect: n.Skipped, Open: len(old), Age: now - c.storeAnsweredAt})
+	c.applyUnknownServices(now)
 }
 
 // HandlePacket decides on one packet of a caller. The returned header is valid until the next call.
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -38,8 +38,10 @@
 	service *service
 	// tokenShared is set while another known upstream has the same token.
 	tokenShared bool
-	// unreadable is set while the registration cannot be decoded.
+	// unreadable is set while the registration cannot be decoded or names an unknown service.
 	unreadable bool
+	// unknownService is the registration that names an unknown service; nil if there is none.
+	unknownService *directory.Upstream
 	// removeAt is when an upstream with a lapsed registration becomes gone; zero is never.
 	removeAt time.Duration
 	// lost is set while the registration is missing only because the store was restored.
