dsrpeer: an age in a message that is too large doesn't count as recent

StoreAgeMs and KeptForMs were multiplied without a limit.  ms wraps round to 0.4 ms: the sender counts as a host that heard of the store just now, and is followed. Ages are converted in one place now, an hour at most. TestAgesTooLargeAreNotRecent failed to compile before, and its values wrapped in a trial of the old expression.

--- a/internal/dsrpeer/follow.go
+++ b/internal/dsrpeer/follow.go
@@ -83,7 +83,7 @@
 // readsStore reports whether the sender of the message reads the store itself and
 // got an answer within maxReaderStoreAge.
 func readsStore(n *syncMessage) bool {
-	return n.ReadsStore && n.StoreAgeMs >= 0 && time.Duration(n.StoreAgeMs)*time.Millisecond <= maxReaderStoreAge
+	return n.ReadsStore && n.StoreAgeMs >= 0 && age(n.StoreAgeMs) <= maxReaderStoreAge
 }
 
 // helloAny sends hellos until a host answers. It reports false if hosts are known
@@ -214,9 +214,8 @@
 // isFresh reports whether the sender of a message heard of the store lately, itself or through
 // the host that it follows, or at least later than this host.
 func (p *Peer) isFresh(n *syncMessage) bool {
-	age := time.Duration(n.StoreAgeMs) * time.Millisecond
-	own := p.directoryAge()
-	return age >= 0 && (age <= maxReaderStoreAge || own < 0 || age+fresherBy < own)
+	theirs, own := age(n.StoreAgeMs), p.directoryAge()
+	return theirs >= 0 && (theirs <= maxReaderStoreAge || own < 0 || theirs+fresherBy < own)
 }
 
 // directoryAge returns the time since the store last answered this host or, as far as it knows,
@@ -271,9 +270,9 @@
 		if u, err = decodeUpdate(n.Update); err != nil {
 			return err
 		}
-		u.KeptFor = time.Duration(n.KeptForMs) * time.Millisecond
+		u.KeptFor = age(n.KeptForMs)
 	}
-	storeAge := time.Duration(n.StoreAgeMs) * time.Millisecond
+	storeAge := age(n.StoreAgeMs)
 	behind := p.isBehind(n)
 	if behind {
 		storeAge = -1
--- a/internal/dsrpeer/message.go
+++ b/internal/dsrpeer/message.go
@@ -11,6 +11,7 @@
 	"compress/flate"
 	"io"
 	"net/netip"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -27,7 +28,7 @@
 	maxItems = 100_000
 	// maxPeers is the largest number of hosts named in a message.
 	maxPeers = 128
-	// maxAgeMs bounds the age of a named host, in milliseconds; older ones are not used.
+	// maxAgeMs bounds each age in a message, in milliseconds; what is older counts as this old.
 	maxAgeMs = 3_600_000
 	// maxMapSize is the largest number of pairs in a CBOR map.
 	maxMapSize = 16
@@ -96,6 +97,12 @@
 	Removed  bool
 }
 
+// age converts an age in a message from milliseconds. A negative one, which stands for never,
+// stays negative.
+func age(ms int64) time.Duration {
+	return time.Duration(min(max(ms, -1), maxAgeMs)) * time.Millisecond
+}
+
 var messageCodec = codec.New(codec.Limits{ArrayElements: maxItems, MapPairs: maxMapSize, Nesting: maxNesting})
 
 func encodeUpdate(u replica.Update) ([]byte, error) {
--- a/internal/dsrpeer/peer_test.go
+++ b/internal/dsrpeer/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"strings"
@@ -202,6 +203,17 @@
 	require.False(t, readsStore(&syncMessage{StoreAgeMs: maxReaderStoreAge.Milliseconds() + 1, ReadsStore: true}), "its last store answer is too old")
 }
 
+// Guards against an age that overflows a duration and then counts as a recent answer of the store.
+func TestAgesTooLargeAreNotRecent(t *testing.T) {
+	for _, ms := range []int64{math.MaxInt64, 18_446_744_073_710, math.MaxInt64 / 1_000_000 * 2} {
+		require.False(t, readsStore(&syncMessage{StoreAgeMs: ms, ReadsStore: true}), ms)
+		require.Equal(t, maxAgeMs*time.Millisecond, age(ms))
+	}
+	for _, ms := range []int64{-1, math.MinInt64, -18_446_744_073_710} {
+		require.Negative(t, age(ms), ms)
+	}
+}
+
 // Sending a configuration of a thousand routes to ten followers must not saturate a link of 10 Mbit/s for long.
 func TestUpdateIsCompressed(t *testing.T) {
 	var routes strings.Builder
--- a/internal/dsrpeer/peertable.go
+++ b/internal/dsrpeer/peertable.go
@@ -76,7 +76,7 @@
 		full := len(t.hosts) >= maxKnownPeers
 		t.mu.Unlock()
 		if ok || !full {
-			t.add(now, now-time.Duration(min(n.AgeMs, maxAgeMs))*time.Millisecond, a, n.Zone)
+			t.add(now, now-age(n.AgeMs), a, n.Zone)
 		}
 	}
 }
