platform, dsrhost: changes that are too large for one answer are read as a listing

The client cut the answer of the watch off at 8 MiB, took the rest for an outage, and repeated the watch from the same revision, whose answer can only grow, until the store had discarded that history. A page above the limit is still a failure.

--- a/internal/dsrhost/feed.go
+++ b/internal/dsrhost/feed.go
@@ -138,6 +138,9 @@
 		return "history was compacted", true
 	case store.FaultRestored:
 		return "store was restored from a copy", true
+	case store.FaultTooLarge:
+		// A full read has pages. If one of them is too large as well, it is a failure.
+		return "changes are too large for one answer", failure.Op == opWatch
 	default:
 		return "", false
 	}
--- a/internal/dsrhost/feed_test.go
+++ b/internal/dsrhost/feed_test.go
@@ -190,6 +190,22 @@
 	require.Equal(t, 2, lists)
 }
 
+// Guards against a watch that is repeated as long as the store keeps the history, because its answer
+// is larger than the client accepts: no change arrives meanwhile.
+func TestFeedListsAfterTooLargeAnswer(t *testing.T) {
+	s := &scriptedStore{
+		pages:   []store.Page{{At: 20, Entries: []store.Entry{entry("up/a", "orders", 5)}}},
+		watches: []watchAnswer{{err: &store.Error{Op: opWatch, Fault: store.FaultTooLarge}}},
+	}
+	_, events := runFeed(t, s)
+	require.True(t, (<-events).change.Full)
+	require.True(t, (<-events).change.Full)
+	_, lists := s.calls()
+	require.Equal(t, 2, lists)
+	_, again := fullReadReason(&store.Error{Op: opList, Fault: store.FaultTooLarge})
+	require.False(t, again, "a page that is too large is retried after a pause")
+}
+
 func TestFeedIgnoresUnrelatedKeysAndConfigurationRemoval(t *testing.T) {
 	s := &scriptedStore{
 		pages: []store.Page{{At: 20}}, config: entry("config", "7", 3),
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -132,7 +132,8 @@
 	FaultRestored
 	// FaultLease means that the lease does not exist or has expired.
 	FaultLease
-	// FaultTooLarge means that the value exceeds MaxValue.
+	// FaultTooLarge means that the value exceeds MaxValue, or that the answer is larger than the
+	// client accepts; the same call then fails again.
 	FaultTooLarge
 	// FaultRate means that the service rejected the call because of its rate limits.
 	FaultRate
