dsrhost: the content of oversized registrations is not kept

Hosts kept the bytes of entries that can't be read, and encoded them for each follower, beyond the limit of a message.

TestContentOfOversizedRegistrationIsNotKept.

--- a/cmd/mimosad-dsr/host_test.go
+++ b/cmd/mimosad-dsr/host_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -8,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -17,6 +19,7 @@
 
 	"mimosashore.example/mimosashore/internal/directory"
 	"mimosashore.example/mimosashore/internal/standin/dsrworld"
+	"mimosashore.example/mimosashore/internal/store"
 )
 
 // Guards against requests of one flow that reach different upstreams, run twice or reach
@@ -165,6 +168,39 @@
 	require.Contains(t, body, "mimosashore_dsr_malformed_items_total 8")
 }
 
+// Guards against a host that exceeds the memory of its machine, and is ended by the platform, because
+// another writer has left as many of the largest entries as one write may have. The host that
+// was up reads them as changes, the one that starts as a listing.
+func TestLargestEntriesOfOtherWritersTakeLittleMemory(t *testing.T) {
+	const memoryMB = 280 // the smallest machine of the grown deployments
+	f := newFleet(t, 2)
+	for n := range 32 {
+		f.store.PutBytes(fmt.Sprintf("servers/i-0000ff%02x", n), bytes.Repeat([]byte{byte(n)}, store.MaxValue))
+	}
+	started := f.hosts[1]
+	started.kill()
+	started.start()
+	started.awaitReady(http.StatusOK)
+	u := f.addUpstream(0xa9, "orders-service")
+	for _, h := range f.hosts {
+		f.awaitLog(h, "upstream registered", u.Key())
+	}
+	for _, h := range f.hosts {
+		require.Less(t, peakMemoryMB(t, h.cmd.Process.Pid), memoryMB)
+	}
+}
+
+// peakMemoryMB returns the largest resident memory that a process had, in MB.
+func peakMemoryMB(t *testing.T, pid int) int {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	require.NoError(t, err)
+	_, rest, found := strings.Cut(string(b), "VmHWM:")
+	require.True(t, found)
+	kB, err := strconv.Atoi(strings.Fields(rest)[0])
+	require.NoError(t, err)
+	return kB / 1000
+}
+
 func get(t *testing.T, h *hostProcess, path string) string {
 	resp, err := http.Get(fmt.Sprintf("http://%s:%d%s", h.data.Addr(), h.metrics, path))
 	require.NoError(t, err)
--- a/cmd/mimosad-dsr/main.go
+++ b/cmd/mimosad-dsr/main.go
@@ -116,6 +116,7 @@
 		Settings: s,
 		Layout: dsrhost.Layout{
 			UpstreamPrefix:      platform.UpstreamPrefix,
+			MaxRegistration:     platform.MaxRegistration,
 			ConfigurationKey:    platform.ConfigurationKey,
 			DecodeUpstream:      platform.DecodeUpstream,
 			DecodeConfiguration: platform.DecodeConfiguration,
--- a/internal/dsrhost/feed.go
+++ b/internal/dsrhost/feed.go
@@ -280,6 +280,7 @@
 			return &store.Error{Op: opList, Fault: store.FaultRestored}
 		}
 		for _, e := range page.Entries {
+			f.translator.dropOversized(&e)
 			u.Events = append(u.Events, store.Event{Entry: e})
 			after = e.Key
 		}
--- a/internal/dsrhost/feed_test.go
+++ b/internal/dsrhost/feed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -90,6 +91,7 @@
 // testLayout decodes a registration as the name of its service and a configuration as its version.
 var testLayout = Layout{
 	UpstreamPrefix:   "up/",
+	MaxRegistration:  64,
 	ConfigurationKey: "config",
 	DecodeUpstream: func(key string, value []byte, revision store.Revision) (directory.Upstream, error) {
 		if len(value) == 0 {
@@ -206,6 +208,26 @@
 	require.False(t, again, "a page that is too large is retried after a pause")
 }
 
+// Guards against memory that grows with what other writers leave among the registrations, and
+// against messages to other hosts that exceed their limit because of it.
+func TestContentOfOversizedRegistrationIsNotKept(t *testing.T) {
+	large := strings.Repeat("x", testLayout.MaxRegistration+1)
+	s := &scriptedStore{
+		pages:   []store.Page{{At: 20, Entries: []store.Entry{entry("up/a", large, 5), entry("up/b", large[1:], 6)}}},
+		config:  entry("config", strings.Repeat(" ", 100)+"7", 3),
+		watches: []watchAnswer{{events: []store.Event{{Entry: entry("up/c", large, 21)}}, at: 21}},
+	}
+	f, events := runFeed(t, s)
+	first := (<-events).change
+	require.Equal(t, []string{"up/b"}, upstreamKeys(first))
+	require.Equal(t, []directory.Removal{{Key: "up/a", Revision: 5, Malformed: true}}, first.Removed)
+	require.EqualValues(t, 7, first.Configuration.Version)
+	require.Equal(t, []directory.Removal{{Key: "up/c", Revision: 21, Malformed: true}}, (<-events).change.Removed)
+	for _, e := range f.replica.Snapshot().Events {
+		require.True(t, e.Entry.Key == "config" || len(e.Entry.Value) <= testLayout.MaxRegistration, e.Entry.Key)
+	}
+}
+
 func TestFeedIgnoresUnrelatedKeysAndConfigurationRemoval(t *testing.T) {
 	s := &scriptedStore{
 		pages: []store.Page{{At: 20}}, config: entry("config", "7", 3),
--- a/internal/dsrhost/settings.go
+++ b/internal/dsrhost/settings.go
@@ -42,6 +42,8 @@
 type Layout struct {
 	// UpstreamPrefix is the key prefix of registrations of upstreams.
 	UpstreamPrefix string
+	// MaxRegistration is the largest registration that can be decoded, in bytes.
+	MaxRegistration int
 	// ConfigurationKey is the key of the accepted configuration.
 	ConfigurationKey string
 	// DecodeUpstream decodes a registration.
--- a/internal/dsrhost/translate.go
+++ b/internal/dsrhost/translate.go
@@ -19,18 +19,30 @@
 	stats  *stats
 }
 
-// filterEvents returns the events of registrations and of the configuration. It
-// reuses the slice.
+// filterEvents returns the events of registrations and of the configuration, without the
+// content of oversized registrations. It reuses the slice.
 func (t *translator) filterEvents(events []store.Event) []store.Event {
 	out := events[:0]
 	for i := range events {
 		if key := events[i].Entry.Key; key == t.layout.ConfigurationKey || strings.HasPrefix(key, t.layout.UpstreamPrefix) {
+			t.dropOversized(&events[i].Entry)
 			out = append(out, events[i])
 		}
 	}
 	return out
 }
 
+// dropOversized drops the content of a registration that is too large to be decoded. Without
+// it, the entry of another writer still counts as one that can't be read, but takes no memory
+// here and no room in the messages to other hosts.
+func (t *translator) dropOversized(e *store.Entry) {
+	if e.Key == t.layout.ConfigurationKey || len(e.Value) <= t.layout.MaxRegistration {
+		return
+	}
+	t.log.Warn("content of oversized registration is dropped", positionFields(e.Position(), zap.String("key", e.Key), zap.Int("bytes", len(e.Value)))...)
+	e.Value = nil
+}
+
 // change converts an update to a change of the directory. Malformed items are
 // logged, counted and left out.
 func (t *translator) change(u replica.Update) *directory.Change {
