dsr: an upstream is silent only if another caller gets no answer either

Two retransmissions on one flow counted as proof if the host had seen no later answer of the upstream for 550 ms, which is usual for a host that sends it about one request a second; for 2 s the next request of each other flow was reset too.

A silence now takes packets of a second caller that overlap in time and got no answer: a retransmission on any flow, or a handshake that timed out. A silent upstream gets SYNs of other callers, so this is known when the second retransmission comes. TestLossOnLinkOfOneCallerIsNoSilence failed before with a reset. The tests of silent upstreams had only one caller without an answer, which is what the fault takes for a silence: a second one is added in each, and all their checks stay.

--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -110,6 +110,7 @@
 		f.retransmits, f.countedFrom = 0, now
 	}
 	f.retransmits++
+	f.upstream.addUnanswered(now, f.progressAt, f.key.caller.Addr())
 }
 
 // addLatencySample records the time from a request to its answer.
@@ -140,8 +141,8 @@
 }
 
 // checkSilence reports whether the flow must be reset so that its caller repeats the request
-// elsewhere: the request is idempotent, and the upstream does not answer while others answer this
-// host. A result for one flow applies to the other flows of the upstream for silenceHold.
+// elsewhere: the request is idempotent, and the upstream does not answer this caller and another
+// one while others answer this host. A result for one flow applies to the other flows of the upstream for silenceHold.
 func (c *Core) checkSilence(now time.Duration, f *flow) bool {
 	u := f.upstream
 	if f.route == nil || !f.route.Idempotent || !f.pending || f.phase == phaseClosed || c.linkMonitor.suspected(now) {
@@ -149,6 +150,9 @@
 	}
 	if f.retransmits >= silenceRetransmits && now-max(f.progressAt, f.countedFrom) >= silenceTimeout && now-u.reachedAt >= silenceTimeout {
 		if !u.isSilent(now) {
+			if !u.leavesOthersUnanswered(f.progressAt, f.key.caller.Addr()) {
+				return false
+			}
 			u.backoff.extend(now, f.progressAt)
 			c.emit(Record{Event: "upstream is silent", Caller: f.key.caller, Upstream: u.Key, Service: u.Service, Age: now - u.reachedAt})
 			c.resetWaitingFlows(now, f)
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -1,6 +1,7 @@
 package dsr
 
 import (
+	"net/netip"
 	"time"
 
 	"mimosashore.example/mimosashore/internal/directory"
@@ -59,6 +60,8 @@
 	backoff                 backoff
 	// silentAt is when the upstream was last found silent; zero if it has answered since.
 	silentAt time.Duration
+	// unanswered holds the latest packets without an answer, of two callers.
+	unanswered [2]unanswered
 	// latency is the mean time from request to answer, in seconds; zero is unknown.
 	latency   float64
 	latencyAt time.Duration
@@ -96,6 +99,33 @@
 	return true
 }
 
+// unanswered is a packet of a caller that the upstream did not answer: it was sent at sentAt, and
+// there was no answer by seenAt.
+type unanswered struct {
+	caller         netip.Addr
+	sentAt, seenAt time.Duration
+}
+
+// addUnanswered records a packet without an answer. Those of the last two callers are kept.
+func (u *upstream) addUnanswered(now, sent time.Duration, caller netip.Addr) {
+	if u.unanswered[0].caller != caller {
+		u.unanswered[1] = u.unanswered[0]
+	}
+	u.unanswered[0] = unanswered{caller, sent, now}
+}
+
+// leavesOthersUnanswered reports whether the upstream left another caller without an answer while it
+// did not answer the given one since sent. Packets of one caller prove nothing, since its own link
+// may lose the answers.
+func (u *upstream) leavesOthersUnanswered(sent time.Duration, caller netip.Addr) bool {
+	for _, p := range u.unanswered {
+		if p.caller.IsValid() && p.caller != caller && p.seenAt >= sent && p.sentAt >= u.reachedAt {
+			return true
+		}
+	}
+	return false
+}
+
 // zone is the state of an availability zone, inferred from its upstreams.
 type zone struct {
 	name    string
@@ -192,7 +222,11 @@
 	if u.Zone == c.zone {
 		c.linkMonitor.handshakeTimedOut(now, u)
 	}
-	if u.reachedAt > f.openedAt || now < u.backoff.until {
+	if u.reachedAt > f.openedAt {
+		return
+	}
+	u.addUnanswered(now, f.openedAt, f.key.caller.Addr())
+	if now < u.backoff.until {
 		return
 	}
 	u.backoff.extend(now, f.openedAt)
