dsr: a SYN is a retransmission only within the attempt of the first one

A SYN belongs to the attempt now if it has its sequence number and comes within 1.4 s of it, the time in which callers retransmit; any other opens a new flow. That covers a retransmission whose first SYN was lost or went through another host, on a port of an attempt or of a flow that was open.

--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -17,6 +17,9 @@
 	// follows another host. That host sends an update or a heartbeat at least every 0.4 s; the limit
 	// is three of these intervals.
 	refuseMaxAgeStoreDown = 1200 * time.Millisecond
+	// attemptTime is the time in which a caller retransmits the SYN of an attempt: 600 ms after the first
+	// one at the latest, with a margin for the way. It gives the attempt up after 1.4 s.
+	attemptTime = 1400 * time.Millisecond
 	// resyncInterval is the minimum time between two requests for a full read of the directory.
 	resyncInterval = time.Second
 	// maxUnknownTokens bounds the unknown tokens that await a full read.
@@ -205,8 +208,7 @@
 	}
 	key := flowKey{p.Caller, p.Service}
 	f := c.cache.flows[key]
-	// A first SYN for a flow whose handshake was completed reuses its port, or is a late duplicate.
-	reused := f != nil && p.SYNRetransmits == 0 && f.phase != phaseOpening && f.phase != phaseOverdue
+	reused := f != nil && !f.isRetransmit(now, p)
 	reason := ReasonPlaced
 	if f != nil && !reused {
 		f.synRetransmits++
@@ -235,7 +237,7 @@
 	if f.upstream.share == 0 {
 		s.spill.AdmittedAt = now
 	}
-	f.nextSeq, f.lastAck = p.Seq+1, 0
+	f.synSeq, f.nextSeq, f.lastAck = p.Seq, p.Seq+1, 0
 	c.cache.touch(now, f)
 	c.cache.setPhase(now, f, phaseOpening)
 	c.emitOpening("flow opened", now, p, r, choice, reason)
@@ -258,6 +260,16 @@
 	return Effect{Action: Drop, Reason: ch.reason}
 }
 
+// isRetransmit reports whether a SYN belongs to the attempt that the flow was opened with. Any other
+// one is of a new flow from the same port. After the handshake, the first SYN may be a late duplicate
+// too; it is placed anew.
+func (f *flow) isRetransmit(now time.Duration, p *Packet) bool {
+	if p.SYNRetransmits == 0 && f.phase != phaseOpening && f.phase != phaseOverdue {
+		return false
+	}
+	return f.openedAt != 0 && p.Seq == f.synSeq && now-f.openedAt <= attemptTime
+}
+
 // keepsUpstream reports whether a retransmitted SYN goes to the upstream of the first one. A second
 // upstream is tried only when needed: if both answer, the caller keeps the token of the later
 // answer.
--- a/internal/dsr/core_test.go
+++ b/internal/dsr/core_test.go
@@ -63,6 +63,45 @@
 	require.NotEqual(t, u.Addr, c.last.To)
 }
 
+// Guards against new flows that go to a draining upstream, because their port was that of an attempt
+// which its caller gave up: the SYN counted as a retransmission of the old one for a minute.
+func TestSYNFromPortOfAbandonedAttemptOpensNewFlow(t *testing.T) {
+	for what, next := range map[string]struct {
+		completed   bool
+		pause       time.Duration
+		seq         uint32
+		retransmits byte
+	}{
+		"another sequence number":               {false, 300 * time.Millisecond, 7000, 0},
+		"first SYN was lost":                    {false, 300 * time.Millisecond, 7000, 1},
+		"long after the attempt":                {false, attemptTime + time.Millisecond, 100, 0},
+		"first SYN was lost, port of open flow": {true, 300 * time.Millisecond, 7000, 1},
+	} {
+		t.Run(what, func(t *testing.T) {
+			f := newFixture(t)
+			c := f.caller(orderPort)
+			c.sendSYN()
+			if next.completed {
+				c.completeHandshake()
+			}
+			u := f.upstream(c)
+			// Another flow gets an answer, so that the upstream is not suspect.
+			other := f.openFlowOnSameUpstream(c, streamPort)
+			other.request()
+			d := u.Upstream
+			d.Draining = true
+			f.register(d)
+			f.advance(next.pause)
+			other.ackAnswer()
+			c.seq = next.seq
+			require.Equal(t, Forward, c.retransmitSYN(next.retransmits).Action)
+			require.NotEqual(t, u.Addr, c.last.To)
+			c.completeHandshake()
+			require.Equal(t, f.upstream(c).Addr, c.last.To)
+		})
+	}
+}
+
 // The counters of open work match the flows after any sequence of packets and changes.
 func TestPropertyCountsMatchFlows(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/internal/dsr/flows.go
+++ b/internal/dsr/flows.go
@@ -46,8 +46,10 @@
 	upstream *upstream
 	route    *route
 	phase    phase
-	// openedAt is when the flow was assigned to the upstream and its SYN forwarded.
+	// openedAt is when the flow was assigned to the upstream and its SYN forwarded; zero if another
+	// host did that. synSeq is the sequence number of the SYN.
 	openedAt time.Duration
+	synSeq   uint32
 	// handshake is the time from the last SYN to the completed handshake; zero is unknown.
 	handshake time.Duration
 	// busyAt is when the request in progress was first seen.
