hostcore: a renewal waits for the configuration that knows the flow's upstream

A caller whose owner has stopped renews its flow at another host. If that one has not received the configuration that added the flow's upstream, it answered that there is no such upstream, and the caller gave the flow up (EventBroken) although its upstream is sound. The host judged from a configuration that other hosts pass on, and can't tell how old it is; the sealed identifier proves that another host knew the upstream.

It now refuses as not ready, to come back in 500 ms, until the configuration has had the 7 s in which it is in force everywhere. An upstream that this host itself dropped by a newer configuration is refused at once as before.

--- a/internal/hostcore/core.go
+++ b/internal/hostcore/core.go
@@ -112,7 +112,9 @@
 	nextTicket placement.Ticket
 	// incarnations holds the latest known incarnation of each upstream.
 	incarnations map[ids.UpstreamID]uint64
-	admission    *admission.Controller
+	// unknownUpstreams holds upstreams of flows that the configuration does not have.
+	unknownUpstreams unknownUpstreams
+	admission        *admission.Controller
 	// scratch is the buffer that forEachRequest reuses.
 	scratch []*request
 	// bodyBytes is the memory reserved for request bodies, in bytes.
@@ -128,14 +130,15 @@
 // opens as not ready and drops all other datagrams.
 func New(s Settings) *Core {
 	return &Core{
-		settings:     s,
-		self:         s.Self,
-		services:     make(map[ids.ServiceID]*service),
-		flows:        newFlowTable(s.MaxFlows),
-		requests:     list.New(func(r *request) *list.Links[request] { return &r.inFlightLinks }),
-		tickets:      make(map[placement.Ticket]*request),
-		incarnations: make(map[ids.UpstreamID]uint64),
-		admission:    admission.New(s.Seed, s.HostRate),
+		settings:         s,
+		self:             s.Self,
+		services:         make(map[ids.ServiceID]*service),
+		flows:            newFlowTable(s.MaxFlows),
+		requests:         list.New(func(r *request) *list.Links[request] { return &r.inFlightLinks }),
+		tickets:          make(map[placement.Ticket]*request),
+		incarnations:     make(map[ids.UpstreamID]uint64),
+		unknownUpstreams: make(unknownUpstreams),
+		admission:        admission.New(s.Seed, s.HostRate),
 	}
 }
 
--- a/internal/hostcore/open.go
+++ b/internal/hostcore/open.go
@@ -17,8 +17,13 @@
 const (
 	// stoppingRetryAfter is the retry-after delay of a stopping host.
 	stoppingRetryAfter = 50 * time.Millisecond
-	// notReadyRetryAfter is the retry-after delay of a host without configuration.
+	// notReadyRetryAfter is the retry-after delay of a host without configuration, or without the
+	// part of it that a caller needs.
 	notReadyRetryAfter = 500 * time.Millisecond
+	// configurationSpreadTime is the time in which a configuration is in force on all hosts.
+	configurationSpreadTime = 7 * time.Second
+	// maxUnknownUpstreams bounds the upstreams that were removed or are not known.
+	maxUnknownUpstreams = 1024
 )
 
 // handleOpen opens a flow if this host is its home, which depends on the service and
@@ -135,8 +140,8 @@
 		c.sendOpened(f, env, out)
 		return
 	}
-	if reason, ok := c.canRenew(&old); !ok {
-		c.refuseFlow(env, p, reason, stoppingRetryAfter, out)
+	if reason, after := c.refusesRenewal(now, &old); reason != verdict.ReasonNone {
+		c.refuseFlow(env, p, reason, after, out)
 		return
 	}
 	f := &flow{key: key, service: c.ensureService(now, entry), account: old.Account, upstream: old.Upstream}
@@ -160,15 +165,42 @@
 	f.service.placer.AdoptFlow(now, f.upstream)
 }
 
-func (c *Core) canRenew(old *flowid.Flow) (verdict.Reason, bool) {
-	if c.stopping {
-		return verdict.ReasonStopping, false
+// refusesRenewal returns why a flow can't be renewed, with the retry-after delay, or ReasonNone. An
+// upstream that this host has never known may be of a configuration that has not arrived yet: the
+// identifier proves that another host knew it. The caller keeps its flow meanwhile.
+func (c *Core) refusesRenewal(now time.Duration, old *flowid.Flow) (verdict.Reason, time.Duration) {
+	u, known := c.table.Upstream(old.Upstream)
+	switch {
+	case c.stopping:
+		return verdict.ReasonStopping, stoppingRetryAfter
+	case known && u.Service == old.Service:
+		return verdict.ReasonNone, 0
+	case known || c.unknownUpstreams.isGone(now, old.Upstream):
+		return verdict.ReasonNoUpstream, stoppingRetryAfter
+	default:
+		return verdict.ReasonNotReady, notReadyRetryAfter
 	}
-	u, ok := c.table.Upstream(old.Upstream)
-	if !ok || u.Service != old.Service {
-		return verdict.ReasonNoUpstream, false
+}
+
+// unknownUpstreams maps upstreams that the configuration does not have to when they count as gone.
+type unknownUpstreams map[ids.UpstreamID]time.Duration
+
+// isGone reports whether an upstream was removed by a configuration, or has not been known for
+// configurationSpreadTime since the first question.
+func (m unknownUpstreams) isGone(now time.Duration, id ids.UpstreamID) bool {
+	goneAt, ok := m[id]
+	if !ok {
+		goneAt = now + configurationSpreadTime
+		m.set(id, goneAt)
+	}
+	return now >= goneAt
+}
+
+func (m unknownUpstreams) set(id ids.UpstreamID, goneAt time.Duration) {
+	if len(m) >= maxUnknownUpstreams {
+		clear(m)
 	}
-	return verdict.ReasonNone, true
+	m[id] = goneAt
 }
 
 // sendOpened replies with the sealed identifier of the flow.
--- a/internal/hostcore/service.go
+++ b/internal/hostcore/service.go
@@ -98,6 +98,11 @@
 	if s.config == entry.Service {
 		return
 	}
+	for _, u := range s.config.Upstreams {
+		if _, known := c.table.Upstream(u.ID); !known {
+			c.unknownUpstreams.set(u.ID, now)
+		}
+	}
 	s.config = entry.Service
 	s.retries.SetPercent(entry.Service.RetryPercent)
 	s.placer.Update(now, entry.Service)
