dsr, dsrhost: a host that can't confirm its directory goes by another host's news

A host that is cut off from the store and has its directory read by another host that is not could never confirm it, and would have kept upstreams that are gone, with their flows, until the cut healed. When the reads for confirmations fail, the same rule holds as while the store does not answer: the reader has to have heard of it 2 s later. A host that started less than 500 ms ago refused first SYNs as if it had confirmed its directory at time zero. TestUpstreamGoesByNewsOfReaderWhileConfirmationsFail and TestStartedHostRefusesNoSYNBeforeConfirmation; the second failed before with a reset, the first needs the new report. Failures are logged once until a read succeeds.

--- a/internal/dsr/confirm.go
+++ b/internal/dsr/confirm.go
@@ -29,19 +29,24 @@
 	// at is the latest time up to which the directory is known to be complete: all writes that the
 	// store acknowledged before have been applied.
 	at time.Duration
-	// wanted is set while a confirmation is requested, nextAt is when the next one may be.
+	// wanted is set while a confirmation is requested, nextAt is when the next one may be. failed is
+	// set while the store does not answer these requests.
 	wanted bool
 	nextAt time.Duration
+	failed bool
 }
 
 // Confirmed records that the directory has all writes that the store acknowledged before the given
 // time, which is when the confirming read was requested. It resets the flows without a route that
 // have waited for it.
 func (c *Core) Confirmed(now, at time.Duration) {
-	c.confirmation.at = max(c.confirmation.at, at)
+	c.confirmation.at, c.confirmation.failed = max(c.confirmation.at, at), false
 	c.resetUnrouted(now)
 }
 
+// ConfirmationFailed records that the store did not answer a request to confirm the directory.
+func (c *Core) ConfirmationFailed() { c.confirmation.failed = true }
+
 // TakeConfirmRequest reports whether the core wants its directory confirmed, since the last call of
 // TakeConfirmRequest.
 func (c *Core) TakeConfirmRequest() bool {
@@ -51,13 +56,17 @@
 }
 
 // isConfirmed reports whether the directory is known to be complete up to the given time. If it is
-// not, a confirmation is requested.
+// not, a confirmation is requested. While the store does not answer this host's requests, the
+// directory counts as complete if the store was heard of peerAnswerDelay later.
 func (c *Core) isConfirmed(now, at time.Duration) bool {
 	if c.confirmation.at >= at && c.confirmation.at != 0 {
 		return true
 	}
+	if (c.storeDown || c.confirmation.failed) && c.storeAnsweredAt >= at+peerAnswerDelay {
+		return true
+	}
 	if c.storeDown {
-		return c.storeAnsweredAt >= at+peerAnswerDelay
+		return false
 	}
 	if now >= c.confirmation.nextAt {
 		c.confirmation.wanted, c.confirmation.nextAt = true, now+confirmInterval
--- a/internal/dsr/confirm_test.go
+++ b/internal/dsr/confirm_test.go
@@ -114,6 +114,37 @@
 	require.Len(t, f.core.TakeResets(), 1)
 }
 
+// A host that is cut off from the store, and whose reader is not, can't confirm its directory either.
+func TestUpstreamGoesByNewsOfReaderWhileConfirmationsFail(t *testing.T) {
+	f := newFixture(t)
+	u := f.upstream(f.openFlow(orderPort))
+	f.unregister(u.Key)
+	f.advance(lapseGrace)
+	f.core.ConfirmationFailed()
+	f.core.PeerAnswered(f.now, 0)
+	f.core.advance(f.now)
+	require.False(t, u.gone)
+	f.advance(peerAnswerDelay)
+	f.core.PeerAnswered(f.now, 0)
+	f.core.advance(f.now)
+	require.True(t, u.gone)
+	g := newFixture(t)
+	v := g.upstream(g.openFlow(orderPort))
+	g.unregister(v.Key)
+	g.advance(lapseGrace + peerAnswerDelay)
+	g.core.PeerAnswered(g.now, 0)
+	g.core.advance(g.now)
+	require.False(t, v.gone, "it can confirm its directory, and has not done so")
+}
+
+// A host that has just started has confirmed nothing.
+func TestStartedHostRefusesNoSYNBeforeConfirmation(t *testing.T) {
+	f := &fixture{t: t, core: New("a", testFormat{}, 0), now: 100 * time.Millisecond}
+	f.core.PeerAnswered(f.now, 0)
+	f.core.Apply(f.now, &directory.Change{Full: true, FromPeer: true, Revision: 5, Configuration: configuration(1)})
+	require.Equal(t, Drop, f.caller(81).sendSYN().Action)
+}
+
 // Guards against resets of the flows of an upstream whose registration lapsed and is back, by a
 // host that did not hear of it: its reader was cut off from the store in between.
 func TestLapsedUpstreamIsNotGoneBeforeItsAbsenceIsConfirmed(t *testing.T) {
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -323,7 +323,7 @@
 	if c.storeDown {
 		return now-c.storeAnsweredAt <= refuseMaxAgeStoreDown
 	}
-	return now-c.confirmation.at <= refuseMaxAge
+	return c.confirmation.at != 0 && now-c.confirmation.at <= refuseMaxAge
 }
 
 func (c *Core) emitReset(now time.Duration, p *Packet, u *upstream, reason Reason) {
--- a/internal/dsrhost/confirm.go
+++ b/internal/dsrhost/confirm.go
@@ -47,9 +47,17 @@
 	page, err := f.store.List(ctx, key, key, 0)
 	f.stats.countStoreCall(opPosition, err)
 	if err != nil {
-		f.log.Warn("directory can't be confirmed", positionFields(f.replica.Position(), zap.Error(err))...)
+		if !f.confirmationFailed {
+			f.log.Warn("directory can't be confirmed", positionFields(f.replica.Position(), zap.Error(err))...)
+		}
+		f.confirmationFailed = true
+		f.send(ctx, feedEvent{kind: feedConfirmationFailed})
 		return
 	}
+	if f.confirmationFailed {
+		f.log.Info("directory can be confirmed again", positionFields(page.Position())...)
+	}
+	f.confirmationFailed = false
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.awaited = &awaitedConfirmation{requestedAt: requestedAt, position: page.Position()}
--- a/internal/dsrhost/confirm_test.go
+++ b/internal/dsrhost/confirm_test.go
@@ -51,6 +51,15 @@
 	require.Equal(t, 1, s.positions, "each call is charged")
 }
 
+func TestFailedConfirmationIsReported(t *testing.T) {
+	f, events := confirmFeed(t, 1, 20)
+	s := f.store.(*scriptedStore)
+	s.positionErr = &store.Error{Fault: store.FaultUnavailable}
+	f.readPosition(context.Background())
+	require.Equal(t, feedConfirmationFailed, (<-events).kind)
+	require.Nil(t, f.awaited)
+}
+
 // Revisions of a restored store say nothing about the directory that this host has.
 func TestPositionOfRestoredStoreConfirmsNothing(t *testing.T) {
 	f, events := confirmFeed(t, 2, 5)
--- a/internal/dsrhost/decide.go
+++ b/internal/dsrhost/decide.go
@@ -127,6 +127,8 @@
 		d.core.PeerAnswered(now, e.storeAge)
 	case feedConfirmed:
 		d.core.Confirmed(now, e.confirmedAt)
+	case feedConfirmationFailed:
+		d.core.ConfirmationFailed()
 	}
 }
 
--- a/internal/dsrhost/feed.go
+++ b/internal/dsrhost/feed.go
@@ -58,6 +58,8 @@
 	feedPeerUpdate
 	// feedConfirmed is a read of the store that confirms the directory.
 	feedConfirmed
+	// feedConfirmationFailed is a failed read for a confirmation.
+	feedConfirmationFailed
 )
 
 // feedEvent is an event from the feed to the core's goroutine.
@@ -89,6 +91,8 @@
 	// confirmation reaches the core after all that it confirms. It guards awaited.
 	mu      sync.Mutex
 	awaited *awaitedConfirmation
+	// confirmationFailed is set while reads for confirmations fail. It belongs to runConfirmations.
+	confirmationFailed bool
 	// lastAnswer is when the store last answered, in nanoseconds since the start; zero
 	// is never. failing is set while the last call has failed.
 	lastAnswer atomic.Int64
--- a/internal/dsrhost/feed_test.go
+++ b/internal/dsrhost/feed_test.go
@@ -30,9 +30,11 @@
 	watches []watchAnswer
 	after   []store.Position
 	lists   int
-	// position is the page of a read of the store's position, positions the number of these reads.
-	position  store.Page
-	positions int
+	// position and positionErr are the result of reads of the store's position, positions is their
+	// number.
+	position    store.Page
+	positionErr error
+	positions   int
 }
 
 // watchAnswer is the prepared result of a watch.
@@ -54,7 +56,7 @@
 	defer s.mu.Unlock()
 	if prefix == testLayout.ConfigurationKey {
 		s.positions++
-		return s.position, nil
+		return s.position, s.positionErr
 	}
 	if after == "" {
 		s.lists++
