dsr: a lapsed upstream is confirmed to be gone only if callers wait for it

A host asks now if it has flows at the upstream or callers that wait for the service; otherwise the upstream goes when the store was heard of 2 s later than the end of the grace, which covers the second in which watches hear nothing. TestLapsedUpstreamGoesByNewsUnlessCallersWait.

--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -243,7 +243,7 @@
 func (c *Core) expireUpstreams(now time.Duration) {
 	for len(c.lapsedList) > 0 {
 		u := c.lapsedList[0]
-		if u.removeAt != 0 && (now < u.removeAt || !c.isConfirmed(now, u.removeAt)) {
+		if u.removeAt != 0 && (now < u.removeAt || !c.staysMissing(now, u)) {
 			break
 		}
 		c.lapsedList = c.lapsedList[1:]
--- a/internal/dsr/confirm.go
+++ b/internal/dsr/confirm.go
@@ -10,10 +10,10 @@
 	// confirmInterval is the minimum time between two requests to confirm the directory: the time
 	// after which a caller retransmits.
 	confirmInterval = 200 * time.Millisecond
-	// peerAnswerDelay bounds how long an answer of the store that another host reports may have been
-	// on its way: a message that is not read within 1.2 s ends the connection, and the next
-	// heartbeat follows within 0.4 s.
-	peerAnswerDelay = 2 * time.Second
+	// newsDelay bounds how late news may be behind an answer of the store that tells of none: watches
+	// hear nothing for a second before a compaction. A message of another host that is not read within
+	// 1.2 s ends the connection, and the next heartbeat follows within 0.4 s.
+	newsDelay = 2 * time.Second
 	// unroutedTime is how long a packet to an address without a route waits for the confirmation of
 	// the directory: the time until a host detects that its watch or that of its reader failed.
 	unroutedTime = 4 * time.Second
@@ -57,12 +57,12 @@
 
 // isConfirmed reports whether the directory is known to be complete up to the given time. If it is
 // not, a confirmation is requested. While the store does not answer this host's requests, the
-// directory counts as complete if the store was heard of peerAnswerDelay later.
+// directory counts as complete if the store was heard of newsDelay later.
 func (c *Core) isConfirmed(now, at time.Duration) bool {
 	if c.confirmation.at >= at && c.confirmation.at != 0 {
 		return true
 	}
-	if (c.storeDown || c.confirmation.failed) && c.storeAnsweredAt >= at+peerAnswerDelay {
+	if (c.storeDown || c.confirmation.failed) && c.storeAnsweredAt >= at+newsDelay {
 		return true
 	}
 	if c.storeDown {
@@ -74,6 +74,19 @@
 	return false
 }
 
+// staysMissing reports whether the registration of a lapsed upstream is known to be missing still at
+// the end of its grace period. A confirmation is requested if callers wait for it; otherwise it is
+// enough that the store was heard of newsDelay later.
+func (c *Core) staysMissing(now time.Duration, u *upstream) bool {
+	if c.storeAnsweredAt >= u.removeAt+newsDelay {
+		return true
+	}
+	if u.flows > 0 || u.opening > 0 || u.service.waiting > 0 {
+		return c.isConfirmed(now, u.removeAt)
+	}
+	return c.confirmation.at >= u.removeAt
+}
+
 // resetUnrouted decides on the flows without a route that have waited for the confirmation of the
 // directory: those that still have none are reset.
 func (c *Core) resetUnrouted(now time.Duration) {
--- a/internal/dsr/confirm_test.go
+++ b/internal/dsr/confirm_test.go
@@ -106,7 +106,7 @@
 	c := newFixture(t).openFlow(orderPort)
 	c.f = f
 	require.Equal(t, Drop, c.request().Action)
-	f.advance(peerAnswerDelay)
+	f.advance(newsDelay)
 	f.core.PeerAnswered(f.now, time.Millisecond)
 	require.Empty(t, f.core.TakeResets())
 	f.advance(time.Millisecond)
@@ -114,27 +114,44 @@
 	require.Len(t, f.core.TakeResets(), 1)
 }
 
-// A host that is cut off from the store, and whose reader is not, can't confirm its directory either.
-func TestUpstreamGoesByNewsOfReaderWhileConfirmationsFail(t *testing.T) {
-	f := newFixture(t)
-	u := f.upstream(f.openFlow(orderPort))
-	f.unregister(u.Key)
-	f.advance(lapseGrace)
-	f.core.ConfirmationFailed()
-	f.core.PeerAnswered(f.now, 0)
-	f.core.advance(f.now)
-	require.False(t, u.gone)
-	f.advance(peerAnswerDelay)
-	f.core.PeerAnswered(f.now, 0)
-	f.core.advance(f.now)
-	require.True(t, u.gone)
-	g := newFixture(t)
-	v := g.upstream(g.openFlow(orderPort))
-	g.unregister(v.Key)
-	g.advance(lapseGrace + peerAnswerDelay)
-	g.core.PeerAnswered(g.now, 0)
-	g.core.advance(g.now)
-	require.False(t, v.gone, "it can confirm its directory, and has not done so")
+// An upstream without callers is not worth a call of the store: it is gone once the store was heard
+// of so late that the return of its registration would be known.
+func TestLapsedUpstreamGoesByNewsUnlessCallersWait(t *testing.T) {
+	for _, waits := range []bool{false, true} {
+		f := newFixture(t)
+		u := f.core.byKey["u1"]
+		if waits {
+			u = f.upstream(f.openFlow(orderPort))
+		}
+		f.unregister(u.Key)
+		f.advance(lapseGrace)
+		for _, step := range []struct {
+			pause time.Duration
+			gone  bool
+		}{{0, false}, {newsDelay - time.Millisecond, false}, {time.Millisecond, true}} {
+			f.advance(step.pause)
+			f.core.PeerAnswered(f.now, 0)
+			f.core.advance(f.now)
+			require.Equal(t, waits && !step.gone, f.core.TakeConfirmRequest())
+			require.Equal(t, step.gone, u.gone)
+		}
+	}
+}
+
+// A host that is cut off from the store, and whose reader is not, can't confirm its directory.
+func TestOpenFlowIsResetByNewsOfReaderWhileConfirmationsFail(t *testing.T) {
+	for _, fails := range []bool{false, true} {
+		f, _ := orderRouteLater(t)
+		c := newFixture(t).openFlow(orderPort)
+		c.f = f
+		require.Equal(t, Drop, c.request().Action)
+		if fails {
+			f.core.ConfirmationFailed()
+		}
+		f.advance(newsDelay)
+		f.core.PeerAnswered(f.now, 0)
+		require.Equal(t, fails, len(f.core.TakeResets()) == 1)
+	}
 }
 
 // A host that has just started has confirmed nothing.
@@ -157,7 +174,7 @@
 		f.core.PeerAnswered(f.now, 100*time.Millisecond)
 		require.Equal(t, Forward, c.request().Action)
 	}
-	require.True(t, f.core.TakeConfirmRequest())
+	require.True(t, f.core.TakeConfirmRequest(), "a caller waits")
 	back := u.Upstream
 	f.register(back)
 	f.confirm()
@@ -179,7 +196,7 @@
 	f.rev++
 	f.core.Apply(f.now, &directory.Change{Revision: f.rev, Removed: []directory.Removal{{Key: d.Key, Revision: f.rev}}})
 	require.Equal(t, Forward, c.request().Action)
-	f.advance(lapseGrace + peerAnswerDelay)
+	f.advance(lapseGrace + newsDelay)
 	f.core.PeerAnswered(f.now, 0)
 	require.Equal(t, Reset, c.retransmit().Action)
 }
