--- a/cmd/mimosad-dsr/host_test.go
+++ b/cmd/mimosad-dsr/host_test.go
@@ -122,8 +122,8 @@
 	}, waitTimeout, 20*time.Millisecond)
 }
 
-// Guards against a reset of an open flow on a route that was just added, by a host that has not
-// heard of the route: the store's watches hear nothing for a moment, and the host's directory looks
+// Guards against a reset of an open flow on a route that was just added, by a host that does not
+// have the route: the store's watches report nothing for a moment, and the host's directory looks
 // recent all the same.
 func TestOpenFlowOnAddedRouteSurvivesHostThatMissesIt(t *testing.T) {
 	f := newFleet(t, 2)
--- a/internal/dsr/confirm_test.go
+++ b/internal/dsr/confirm_test.go
@@ -21,7 +21,7 @@
 }
 
 // Guards against a reset of an open flow on a route that was just added, by a host whose reader of
-// the store was cut off from it without knowing: all that it hears is recent.
+// the store is cut off from it and does not know: all answers that the reader reports are recent.
 func TestOpenFlowOnAddedRouteIsNotResetByHostThatMissesIt(t *testing.T) {
 	f, added := orderRouteLater(t)
 	other := newFixture(t)
@@ -98,8 +98,8 @@
 	require.Equal(t, Drop, g.caller(81).sendSYN().Action, "no configuration yet")
 }
 
-// A host that the store does not answer can't confirm its directory. It waits until another host
-// has heard of the store so much later that the news must have arrived.
+// A host that the store does not answer can't confirm its directory. It waits until the store has
+// answered another host so much later that an added route must have arrived.
 func TestOpenFlowIsResetByNewsOfOtherHostWhileStoreIsDown(t *testing.T) {
 	f, _ := orderRouteLater(t)
 	f.core.StoreFailed(f.now, "test")
@@ -114,8 +114,8 @@
 	require.Len(t, f.core.TakeResets(), 1)
 }
 
-// An upstream without callers is not worth a call of the store: it is gone once the store was heard
-// of so late that the return of its registration would be known.
+// An upstream without callers is not worth a call of the store: it is gone once the store has
+// answered so late that the return of its registration would be known.
 func TestLapsedUpstreamGoesByNewsUnlessCallersWait(t *testing.T) {
 	for _, waits := range []bool{false, true} {
 		f := newFixture(t)
@@ -163,7 +163,7 @@
 }
 
 // Guards against resets of the flows of an upstream whose registration lapsed and is back, by a
-// host that did not hear of it: its reader was cut off from the store in between.
+// host that does not know: its reader was cut off from the store in between.
 func TestLapsedUpstreamIsNotGoneBeforeItsAbsenceIsConfirmed(t *testing.T) {
 	f := newFixture(t)
 	c := f.openFlow(orderPort)
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -10,13 +10,6 @@
 )
 
 const (
-	// refuseMaxAge is the age of the confirmed directory up to which the first SYN to an address
-	// without a route is refused at once. It limits the calls to the store that such SYNs cause.
-	refuseMaxAge = 500 * time.Millisecond
-	// refuseMaxAgeStoreDown applies instead while the store does not answer this host, which then
-	// follows another host. That host sends an update or a heartbeat at least every 0.4 s; the limit
-	// is three of these intervals.
-	refuseMaxAgeStoreDown = 1200 * time.Millisecond
 	// attemptTime is the time in which a caller retransmits the SYN of an attempt: 600 ms after the first
 	// one at the latest, with a margin for the way. It gives the attempt up after 1.4 s.
 	attemptTime = 1400 * time.Millisecond
@@ -304,28 +297,6 @@
 	return Effect{Action: Forward, Reason: reason, To: u.Addr, ID: u.ID, Token: u.token}
 }
 
-// handleNoRoute decides on a packet to an address without a route. A newer configuration, which
-// this host does not have yet, may contain the route. An open flow, and a SYN that is not the first
-// one of its flow, are reset once the directory is confirmed up to the arrival of the packet.
-func (c *Core) handleNoRoute(now time.Duration, p *Packet) Effect {
-	if p.SYN && p.SYNRetransmits == 0 && c.refusesAtOnce(now) {
-		c.emitReset(now, p, nil, ReasonNoRoute)
-		return Effect{Action: Reset, Reason: ReasonNoRoute}
-	}
-	c.unrouted.add(now, p)
-	c.isConfirmed(now, now)
-	return Effect{Action: Drop, Reason: ReasonStaleConfiguration}
-}
-
-// refusesAtOnce reports whether the directory is recent enough to refuse the first SYN to an
-// address without a route.
-func (c *Core) refusesAtOnce(now time.Duration) bool {
-	if c.storeDown {
-		return now-c.storeAnsweredAt <= refuseMaxAgeStoreDown
-	}
-	return c.confirmation.at != 0 && now-c.confirmation.at <= refuseMaxAge
-}
-
 func (c *Core) emitReset(now time.Duration, p *Packet, u *upstream, reason Reason) {
 	rec := Record{
 		Event: "flow reset", Caller: p.Caller, Address: p.Service, Token: p.Token, Action: Reset, Detail: reasonNames[reason],
--- a/internal/dsrhost/confirm_test.go
+++ b/internal/dsrhost/confirm_test.go
@@ -20,7 +20,7 @@
 }
 
 // Guards against a confirmation that comes before what it confirms: the read of the position tells
-// that there are writes that this host has not heard of.
+// that there are writes that this host does not have.
 func TestConfirmationFollowsWritesThatItConfirms(t *testing.T) {
 	ctx := context.Background()
 	f, events := confirmFeed(t, 1, 22)
