dsrworld: the store stand-in encodes each entry once

Cause: the stand-in encoded 32 entries of 1 MiB for each answer, with its lock held; under the race detector that took longer than the deadlines of the host's calls (log: "context deadline exceeded" on the watch and on the first page, before any byte). The test and its bounds are unchanged, the product too.

--- a/internal/standin/dsrworld/store.go
+++ b/internal/standin/dsrworld/store.go
@@ -1,7 +1,9 @@
 package dsrworld
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"net/http"
 	"net/http/httptest"
@@ -26,6 +28,9 @@
 	Value    []byte `json:"value,omitempty"`
 	Revision uint64 `json:"revision"`
 	Removed  bool   `json:"removed,omitempty"`
+
+	// encoded is the entry in its wire format, encoded once: a test may write many MB.
+	encoded []byte
 }
 
 // Store is a stand-in for the platform's store. It is safe for concurrent use.
@@ -161,6 +166,7 @@
 	defer s.mu.Unlock()
 	s.revision++
 	e.Revision = s.revision
+	e.encode()
 	if e.Removed {
 		delete(s.items, e.Key)
 	} else {
@@ -170,6 +176,14 @@
 	s.notifyWatches()
 }
 
+func (e *entry) encode() {
+	b, err := json.Marshal(e)
+	if err != nil {
+		panic(err)
+	}
+	e.encoded = b
+}
+
 func (s *Store) notifyWatches() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -208,6 +222,22 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
+// writeEntries writes an object with a list of entries under a name, and the given other fields.
+func (s *Store) writeEntries(w http.ResponseWriter, name string, entries []entry, others string) {
+	var body bytes.Buffer
+	fmt.Fprintf(&body, `{%q:[`, name)
+	for i, e := range entries {
+		if i > 0 {
+			body.WriteByte(',')
+		}
+		body.Write(e.encoded)
+	}
+	fmt.Fprintf(&body, `],%s}`, others)
+	w.Header().Set("Content-Type", "application/json")
+	// A write fails only if the client has disconnected.
+	_, _ = w.Write(body.Bytes())
+}
+
 func (s *Store) list(w http.ResponseWriter, prefix, after string) {
 	var keys []string
 	for k := range s.items {
@@ -221,7 +251,7 @@
 	for _, k := range keys[:min(len(keys), pageSize)] {
 		items = append(items, s.items[k])
 	}
-	s.writeJSON(w, map[string]any{"items": items, "hasMore": more, "asOf": s.revision})
+	s.writeEntries(w, "items", items, fmt.Sprintf(`"hasMore":%t,"asOf":%d`, more, s.revision))
 }
 
 // watch serves a long poll. It is called with the lock held and releases it while
@@ -248,7 +278,7 @@
 			}
 		}
 		if len(events) > 0 {
-			s.writeJSON(w, map[string]any{"events": events, "asOf": max(after, s.watchRevision())})
+			s.writeEntries(w, "events", events, fmt.Sprintf(`"asOf":%d`, max(after, s.watchRevision())))
 			return
 		}
 		changed, done := s.changed, false
@@ -266,7 +296,7 @@
 			return
 		}
 		if done {
-			s.writeJSON(w, map[string]any{"events": events, "asOf": max(after, s.watchRevision())})
+			s.writeEntries(w, "events", events, fmt.Sprintf(`"asOf":%d`, max(after, s.watchRevision())))
 			return
 		}
 	}
