dsr: resets and reroutings are logged with their evidence

On call, a reset of an open flow could not be traced: the line had the verdict and the position of the upstream's registration, not what the verdict rested on, whose observation that was (a read of the host, a followed host, the flow cache), nor its revision and age. Packets that go to another upstream than before had no line at all.

Each reset and each rerouting now has one line with verdict, evidence, source, era, revision and age. A change of the directory names the host that it comes from in place of a flag. No decision changes.

TestRecordsOfResetsAndReroutingsHaveTheirEvidence has a case for each; TestEvidenceFieldNames the fields. Existing tests changed by signature only (Change.Host for FromPeer, the host for PeerAnswered, markGone, applyFromPeer). go test of dsr, dsrhost, dsrpeer, replica: passed.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -95,8 +95,9 @@
 	// of an earlier era are registrations that the store lost in a restore and that are kept.
 	Era      store.Era
 	Revision store.Revision
-	// FromPeer is set if the change comes from another host rather than from the store.
-	FromPeer bool
+	// Host is the control address of the host that the change comes from; invalid if it was read from
+	// the store.
+	Host netip.AddrPort
 	// Upstreams holds the registrations that were written.
 	Upstreams []Upstream
 	// Removed holds the keys that no longer have a usable registration.
@@ -105,6 +106,9 @@
 	Configuration *Configuration
 }
 
+// FromPeer reports whether the change comes from another host rather than from the store.
+func (c *Change) FromPeer() bool { return c.Host.IsValid() }
+
 // Position returns the position of the store of the directory after the change.
 func (c *Change) Position() store.Position {
 	return store.Position{Era: c.Era, Revision: c.Revision}
--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -11,20 +12,26 @@
 	"mimosashore.example/mimosashore/internal/loadcontrol"
 )
 
+// factRemoved is the evidence that an upstream has left.
+const factRemoved = "registration was removed"
+
 // Apply applies a change of the directory.
 func (c *Core) Apply(now time.Duration, ch *directory.Change) {
 	if ch.Era > c.era {
 		c.enterEra(now, ch)
 	}
+	if ch.Position().Compare(c.directoryPosition) > 0 {
+		c.directoryPosition = ch.Position()
+	}
 	if ch.Full {
 		c.removeMissing(now, ch)
 		c.fullReadAt = ch.RequestedAt
-		if ch.FromPeer {
+		if ch.FromPeer() {
 			c.fullReadAt = 0
 		}
 	}
 	for i := range ch.Upstreams {
-		c.applyUpstream(now, &ch.Upstreams[i])
+		c.applyUpstream(now, &ch.Upstreams[i], ch.Host)
 		if ch.Upstreams[i].Era < ch.Era {
 			c.keepLost(now, ch.Upstreams[i].Key)
 		}
@@ -36,7 +43,7 @@
 		case r.Malformed:
 			u.setUnreadable(nil)
 		default:
-			c.removeRegistration(now, u)
+			c.removeRegistration(now, u, toldBy(ch.Host, factRemoved, r.Position(), now))
 		}
 	}
 	if ch.Configuration != nil {
@@ -44,7 +51,7 @@
 	}
 	if ch.Full {
 		c.complete = true
-		if !ch.FromPeer {
+		if !ch.FromPeer() {
 			c.Confirmed(now, ch.RequestedAt)
 		}
 	}
@@ -61,7 +68,7 @@
 	}
 	for key, u := range c.byKey {
 		if !present[key] && u.Position().Compare(ch.Position()) <= 0 {
-			c.removeRegistration(now, u)
+			c.removeRegistration(now, u, toldBy(ch.Host, factRemoved, ch.Position(), now))
 		}
 	}
 }
@@ -69,12 +76,12 @@
 // removeRegistration handles the removal of a registration. An upstream that was draining is gone
 // at once, unless the store has just returned or does not answer this host. Any other stays for
 // lapseGrace, since registrations also lapse while the store is down.
-func (c *Core) removeRegistration(now time.Duration, u *upstream) {
+func (c *Core) removeRegistration(now time.Duration, u *upstream, e Evidence) {
 	if u.gone || u.removeAt != 0 {
 		return
 	}
 	if u.Draining && now >= c.storeSettledAt && !c.storeDown {
-		c.markGone(now, u, "left after draining")
+		c.markGone(now, u, "left after draining", e)
 		return
 	}
 	c.letLapse(now, u, "")
@@ -92,19 +99,21 @@
 }
 
 // markGone takes an upstream out of use. Its token stays known for goneRetention.
-func (c *Core) markGone(now time.Duration, u *upstream, cause string) {
-	u.gone, u.goneAt, u.removeAt = true, now, 0
+func (c *Core) markGone(now time.Duration, u *upstream, cause string, e Evidence) {
+	u.gone, u.goneAt, u.goneBy, u.removeAt = true, now, e, 0
 	if c.byKey[u.Key] == u {
 		delete(c.byKey, u.Key)
 	}
 	c.goneList = append(c.goneList, u)
 	c.unindexUpstream(u)
-	c.emit(Record{Event: "upstream gone", Upstream: u.Key, Service: u.Service, Detail: cause, Era: uint64(u.Era), Revision: uint64(u.Revision), Age: now - u.lastAnswerAt})
+	rec := Record{Event: "upstream gone", Upstream: u.Key, Service: u.Service, Detail: cause}
+	rec.addEvidence(now, e)
+	c.emit(rec)
 }
 
-// applyUpstream updates an upstream or adds it. A new incarnation, address or service replaces the
-// old upstream.
-func (c *Core) applyUpstream(now time.Duration, d *directory.Upstream) {
+// applyUpstream updates an upstream or adds it, by a registration that the host with the address told;
+// an invalid address is the store. A new incarnation, address or service replaces the old upstream.
+func (c *Core) applyUpstream(now time.Duration, d *directory.Upstream, host netip.AddrPort) {
 	u := c.byKey[d.Key]
 	if u != nil && d.Position().Compare(u.Position()) < 0 {
 		return
@@ -135,7 +144,7 @@
 		return
 	}
 	if u != nil {
-		c.markGone(now, u, "restarted")
+		c.markGone(now, u, "restarted", toldBy(host, "another incarnation, address or service is registered", d.Position(), now))
 	}
 	// An incarnation that has left after draining doesn't come back: the entry is from the copy of
 	// a restored store.
@@ -168,7 +177,7 @@
 		}
 	}
 	for _, d := range declared {
-		c.applyUpstream(now, d)
+		c.applyUpstream(now, d, netip.AddrPort{})
 	}
 }
 
@@ -243,13 +252,19 @@
 func (c *Core) expireUpstreams(now time.Duration) {
 	for len(c.lapsedList) > 0 {
 		u := c.lapsedList[0]
-		if u.removeAt != 0 && (now < u.removeAt || !c.staysMissing(now, u)) {
+		if u.removeAt == 0 {
+			c.lapsedList = c.lapsedList[1:]
+			continue
+		}
+		if now < u.removeAt {
 			break
 		}
-		c.lapsedList = c.lapsedList[1:]
-		if u.removeAt != 0 && !u.gone {
-			c.markGone(now, u, "registration stayed away")
+		e, missing := c.staysMissing(now, u)
+		if !missing {
+			break
 		}
+		c.lapsedList = c.lapsedList[1:]
+		c.markGone(now, u, "registration stayed away", e)
 	}
 	for len(c.goneList) > 0 && now-c.goneList[0].goneAt > goneRetention {
 		u := c.goneList[0]
--- a/internal/dsr/confirm.go
+++ b/internal/dsr/confirm.go
@@ -1,6 +1,9 @@
 package dsr
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 const (
 	// confirmInterval is the minimum time between two requests to confirm the directory: the time
@@ -47,34 +50,33 @@
 	return wanted
 }
 
-// isConfirmed reports whether the directory is known to be complete up to the given time. If it is
-// not, a confirmation is requested. While the store does not answer this host's requests, the
-// directory counts as complete if the store has answered another host newsDelay later.
-func (c *Core) isConfirmed(now, at time.Duration) bool {
+// confirms reports whether the directory is known to be complete up to the given time, which makes
+// what is missing in it a fact, and returns the evidence. If it is not, a confirmation is requested.
+// While the store does not answer this host's requests, the directory counts as complete if the store
+// has answered another host newsDelay later.
+func (c *Core) confirms(now, at time.Duration, fact string) (Evidence, bool) {
 	if c.confirmation.at >= at && c.confirmation.at != 0 {
-		return true
+		return toldBy(netip.AddrPort{}, fact, c.directoryPosition, c.confirmation.at), true
 	}
 	if (c.storeDown || c.confirmation.failed) && c.storeAnsweredAt >= at+newsDelay {
-		return true
-	}
-	if c.storeDown {
-		return false
+		return toldBy(c.storeAnsweredTo, fact, c.directoryPosition, c.storeAnsweredAt), true
 	}
-	if now >= c.confirmation.nextAt {
+	if !c.storeDown && now >= c.confirmation.nextAt {
 		c.confirmation.wanted, c.confirmation.nextAt = true, now+confirmInterval
 	}
-	return false
+	return Evidence{}, false
 }
 
 // staysMissing reports whether the registration of a lapsed upstream is known to be missing still at
-// the end of its grace period. A confirmation is requested if callers wait for it; otherwise an
+// the end of its grace period, and returns the evidence. A confirmation is requested if callers wait for it; otherwise an
 // answer of the store newsDelay later is enough.
-func (c *Core) staysMissing(now time.Duration, u *upstream) bool {
+func (c *Core) staysMissing(now time.Duration, u *upstream) (Evidence, bool) {
+	const fact = "registration is missing at the end of its grace period"
 	if c.storeAnsweredAt >= u.removeAt+newsDelay {
-		return true
+		return toldBy(c.storeAnsweredTo, fact, c.directoryPosition, c.storeAnsweredAt), true
 	}
-	if u.flows > 0 || u.opening > 0 || u.service.waiting > 0 {
-		return c.isConfirmed(now, u.removeAt)
+	if u.flows > 0 || u.opening > 0 || u.service.waiting > 0 || c.confirmation.at >= u.removeAt {
+		return c.confirms(now, u.removeAt, fact)
 	}
-	return c.confirmation.at >= u.removeAt
+	return Evidence{}, false
 }
--- a/internal/dsr/confirm_test.go
+++ b/internal/dsr/confirm_test.go
@@ -31,7 +31,7 @@
 	require.True(t, f.core.TakeConfirmRequest())
 	for range 6 {
 		f.advance(400 * time.Millisecond)
-		f.core.PeerAnswered(f.now, 50*time.Millisecond)
+		f.core.PeerAnswered(f.now, otherHost, 50*time.Millisecond)
 		f.core.StoreAnswered(f.now)
 		require.Equal(t, Drop, c.retransmit().Action, "an answer that was under way proves nothing")
 		require.Empty(t, f.core.TakeResets())
@@ -91,7 +91,7 @@
 	f.core.StoreFailed(f.now, "test")
 	f.advance(refuseMaxAgeStoreDown + settleTime)
 	require.Equal(t, Drop, f.caller(81).sendSYN().Action, "the store is down")
-	f.core.PeerAnswered(f.now, 100*time.Millisecond)
+	f.core.PeerAnswered(f.now, otherHost, 100*time.Millisecond)
 	require.Equal(t, Reset, f.caller(81).sendSYN().Action, "the store answers another host")
 	require.False(t, f.core.TakeConfirmRequest(), "the store does not answer this host")
 	g := &fixture{t: t, core: New("a", testFormat{}, 0), now: f.now}
@@ -107,10 +107,10 @@
 	c.f = f
 	require.Equal(t, Drop, c.request().Action)
 	f.advance(newsDelay)
-	f.core.PeerAnswered(f.now, time.Millisecond)
+	f.core.PeerAnswered(f.now, otherHost, time.Millisecond)
 	require.Empty(t, f.core.TakeResets())
 	f.advance(time.Millisecond)
-	f.core.PeerAnswered(f.now, 0)
+	f.core.PeerAnswered(f.now, otherHost, 0)
 	require.Len(t, f.core.TakeResets(), 1)
 }
 
@@ -130,7 +130,7 @@
 			gone  bool
 		}{{0, false}, {newsDelay - time.Millisecond, false}, {time.Millisecond, true}} {
 			f.advance(step.pause)
-			f.core.PeerAnswered(f.now, 0)
+			f.core.PeerAnswered(f.now, otherHost, 0)
 			f.core.advance(f.now)
 			require.Equal(t, waits && !step.gone, f.core.TakeConfirmRequest())
 			require.Equal(t, step.gone, u.gone)
@@ -149,7 +149,7 @@
 			f.core.ConfirmationFailed()
 		}
 		f.advance(newsDelay)
-		f.core.PeerAnswered(f.now, 0)
+		f.core.PeerAnswered(f.now, otherHost, 0)
 		require.Equal(t, fails, len(f.core.TakeResets()) == 1)
 	}
 }
@@ -157,8 +157,8 @@
 // A host that has just started has confirmed nothing.
 func TestStartedHostRefusesNoSYNBeforeConfirmation(t *testing.T) {
 	f := &fixture{t: t, core: New("a", testFormat{}, 0), now: 100 * time.Millisecond}
-	f.core.PeerAnswered(f.now, 0)
-	f.core.Apply(f.now, &directory.Change{Full: true, FromPeer: true, Revision: 5, Configuration: configuration(1)})
+	f.core.PeerAnswered(f.now, otherHost, 0)
+	f.core.Apply(f.now, &directory.Change{Full: true, Host: otherHost, Revision: 5, Configuration: configuration(1)})
 	require.Equal(t, Drop, f.caller(81).sendSYN().Action)
 }
 
@@ -171,7 +171,7 @@
 	f.unregister(u.Key)
 	for range 3 {
 		f.advance(time.Second)
-		f.core.PeerAnswered(f.now, 100*time.Millisecond)
+		f.core.PeerAnswered(f.now, otherHost, 100*time.Millisecond)
 		require.Equal(t, Forward, c.request().Action)
 	}
 	require.True(t, f.core.TakeConfirmRequest(), "a caller waits")
@@ -197,7 +197,7 @@
 	f.core.Apply(f.now, &directory.Change{Revision: f.rev, Removed: []directory.Removal{{Key: d.Key, Revision: f.rev}}})
 	require.Equal(t, Forward, c.request().Action)
 	f.advance(lapseGrace + newsDelay)
-	f.core.PeerAnswered(f.now, 0)
+	f.core.PeerAnswered(f.now, otherHost, 0)
 	require.Equal(t, Reset, c.retransmit().Action)
 }
 
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -54,13 +54,17 @@
 	// declared holds the services that the configuration names.
 	declared map[string]bool
 
-	// era is the latest known era of the store.
-	era store.Era
+	// era is the latest known era of the store, directoryPosition the position of the last change of
+	// the directory.
+	era               store.Era
+	directoryPosition store.Position
 	// complete is set once a full read of the directory has been applied.
 	complete bool
 	// storeAnsweredAt is when the store last answered this host or a host that sends it updates.
 	// storeReached is set once it has answered this host, storeDown while it does not.
+	// storeAnsweredTo is the other host; invalid if it was this one.
 	storeAnsweredAt time.Duration
+	storeAnsweredTo netip.AddrPort
 	storeReached    bool
 	storeDown       bool
 	// storeSettledAt is when registrations count as complete after the start of the host, and after
@@ -203,12 +207,13 @@
 	f := c.cache.flows[key]
 	reused := f != nil && !f.isRetransmit(now, p)
 	reason := ReasonPlaced
+	var moved Evidence
 	if f != nil && !reused {
 		f.synRetransmits++
 		if c.keepsUpstream(now, f) {
 			return c.forwardTo(f.upstream, ReasonSYNRetransmit)
 		}
-		reason = ReasonMoved
+		reason, moved = ReasonMoved, f.moveEvidence(now)
 	}
 	choice := c.choose(now, r, p)
 	s := choice.state
@@ -216,6 +221,9 @@
 		return c.handleNotPlaced(now, p, r, f, choice)
 	}
 	if reused {
+		if f.isOpen() && f.upstream != choice.upstream {
+			c.emitRerouted(now, p, f.upstream, choice.upstream, "port used again", seenInFlows("another SYN came from the port", f.seenAt))
+		}
 		c.cache.remove(f)
 		f = nil
 	}
@@ -223,6 +231,7 @@
 	if f == nil {
 		f = c.cache.add(now, key)
 	} else {
+		c.emitRerouted(now, p, f.upstream, choice.upstream, reasonNames[reason], moved)
 		c.cache.setPhase(now, f, phaseClosed)
 	}
 	f.upstream, f.route = choice.upstream, r
@@ -297,18 +306,6 @@
 	return Effect{Action: Forward, Reason: reason, To: u.Addr, ID: u.ID, Token: u.token}
 }
 
-func (c *Core) emitReset(now time.Duration, p *Packet, u *upstream, reason Reason) {
-	rec := Record{
-		Event: "flow reset", Caller: p.Caller, Address: p.Service, Token: p.Token, Action: Reset, Detail: reasonNames[reason],
-		Version: c.version, Age: now - c.storeAnsweredAt,
-	}
-	if u != nil {
-		rec.Upstream, rec.Service, rec.Era, rec.Revision = u.Key, u.Service, uint64(u.Era), uint64(u.Revision)
-		rec.Age = now - u.lastAnswerAt
-	}
-	c.emit(rec)
-}
-
 // routePacket decides on a packet other than a SYN.
 func (c *Core) routePacket(now time.Duration, p *Packet) Effect {
 	if p.Token == 0 {
@@ -324,7 +321,7 @@
 		if f != nil {
 			c.cache.remove(f)
 		}
-		c.emitReset(now, p, u, ReasonUpstreamGone)
+		c.emitReset(now, p, u, ReasonUpstreamGone, u.goneBy)
 		return Effect{Action: Reset, Reason: ReasonUpstreamGone}
 	}
 	if c.configured && c.routes[p.Service] == nil {
@@ -341,6 +338,7 @@
 		c.cache.setPhase(now, f, phaseIdle)
 	}
 	if f.upstream != u {
+		c.emitRerouted(now, p, f.upstream, u, "token of another upstream", f.tokenEvidence())
 		c.cache.setPhase(now, f, phaseClosed)
 		f.upstream = u
 		c.cache.setPhase(now, f, phaseIdle)
@@ -350,7 +348,7 @@
 	c.observe(now, f, p)
 	if c.checkSilence(now, f) {
 		c.cache.remove(f)
-		c.emitReset(now, p, u, ReasonUpstreamSilent)
+		c.emitReset(now, p, u, ReasonUpstreamSilent, u.silence())
 		return Effect{Action: Reset, Reason: ReasonUpstreamSilent}
 	}
 	return c.forwardTo(u, ReasonRouted)
@@ -375,7 +373,7 @@
 		first = now
 	}
 	if first < c.fullReadAt && !c.storeDown && now >= c.storeSettledAt && c.complete {
-		c.emitReset(now, p, nil, ReasonUnknownToken)
+		c.emitReset(now, p, nil, ReasonUnknownToken, toldBy(netip.AddrPort{}, "token is missing in a full read of the directory", c.directoryPosition, c.fullReadAt))
 		return Effect{Action: Reset, Reason: ReasonUnknownToken}
 	}
 	e := Effect{Action: Drop, Reason: ReasonUnknownToken}
--- /dev/null
+++ b/internal/dsr/evidence.go
@@ -0,0 +1,105 @@
+package dsr
+
+import (
+	"net/netip"
+	"time"
+
+	"mimosashore.example/mimosashore/internal/store"
+)
+
+// Source is whose observation the evidence of a decision is.
+type Source uint8
+
+// Sources of evidence.
+const (
+	// SourceStore is a read of the store by this host.
+	SourceStore Source = iota + 1
+	// SourceHost is another host that this one follows.
+	SourceHost
+	// SourceFlows is the flow cache: packets of callers that came through this host.
+	SourceFlows
+	sourceCount
+)
+
+var sourceNames = [sourceCount]string{"", "store", "host", "flows"}
+
+// String returns the source as it appears in logs.
+func (s Source) String() string { return sourceNames[s] }
+
+// Evidence is what a reset or a rerouting of a flow is based on.
+type Evidence struct {
+	// Fact is what was found.
+	Fact   string
+	Source Source
+	// Host is the control address of the host of SourceHost.
+	Host netip.AddrPort
+	// Position is the position of the store that the fact is from; zero for SourceFlows.
+	Position store.Position
+	// At is the time up to which the fact is known to hold, as the time since the start of the host.
+	At time.Duration
+}
+
+// toldBy returns evidence that comes from another host, or from the store if the address is invalid.
+func toldBy(host netip.AddrPort, fact string, position store.Position, at time.Duration) Evidence {
+	if host.IsValid() {
+		return Evidence{Fact: fact, Source: SourceHost, Host: host, Position: position, At: at}
+	}
+	return Evidence{Fact: fact, Source: SourceStore, Position: position, At: at}
+}
+
+// seenInFlows returns evidence from the packets of callers. It is as old as the last packet of the
+// flow, or the last answer of the upstream, that it follows from.
+func seenInFlows(fact string, at time.Duration) Evidence {
+	return Evidence{Fact: fact, Source: SourceFlows, At: at}
+}
+
+// addEvidence adds evidence to a record.
+func (r *Record) addEvidence(now time.Duration, e Evidence) {
+	r.Evidence, r.Source, r.SourceHost = e.Fact, e.Source, e.Host
+	r.Era, r.Revision = uint64(e.Position.Era), uint64(e.Position.Revision)
+	r.Age = now - e.At
+}
+
+// emitReset records the reset of a flow. The upstream is nil if it is not known.
+func (c *Core) emitReset(now time.Duration, p *Packet, u *upstream, reason Reason, e Evidence) {
+	rec := Record{Event: "flow reset", Caller: p.Caller, Address: p.Service, Token: p.Token, Action: Reset, Detail: reasonNames[reason], Version: c.version}
+	if u != nil {
+		rec.Upstream, rec.Service = u.Key, u.Service
+	}
+	rec.addEvidence(now, e)
+	c.emit(rec)
+}
+
+// emitRerouted records that the packets of a flow go to another upstream from now on.
+func (c *Core) emitRerouted(now time.Duration, p *Packet, from, to *upstream, reason string, e Evidence) {
+	rec := Record{
+		Event: "flow rerouted", Caller: p.Caller, Address: p.Service, Upstream: to.Key, Service: to.Service, To: to.Addr, Token: to.token,
+		FromUpstream: from.Key, Detail: reason, Version: c.version,
+	}
+	rec.addEvidence(now, e)
+	c.emit(rec)
+}
+
+// moveEvidence returns why a retransmitted SYN of the flow does not go to the flow's upstream.
+func (f *flow) moveEvidence(now time.Duration) Evidence {
+	u := f.upstream
+	switch {
+	case u.gone:
+		return u.goneBy
+	case u.suspect(now):
+		return seenInFlows("handshake timed out, and the upstream is suspect", f.openedAt)
+	default:
+		return seenInFlows("handshake timed out, and the upstream takes no new flows", f.openedAt)
+	}
+}
+
+// tokenEvidence returns why a packet of the flow that has the token of another upstream goes there.
+func (f *flow) tokenEvidence() Evidence {
+	if f.phase == phaseOpening || f.phase == phaseOverdue {
+		return seenInFlows("caller completed the handshake with another upstream", f.openedAt)
+	}
+	return seenInFlows("caller sent the token of another upstream on an open flow", f.seenAt)
+}
+
+// isOpen reports whether the handshake is known to be completed, and the flow not to have ended.
+func (f *flow) isOpen() bool { return f.phase == phaseIdle || f.phase == phaseBusy }
--- /dev/null
+++ b/internal/dsr/evidence_test.go
@@ -0,0 +1,185 @@
+package dsr
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mimosashore.example/mimosashore/internal/directory"
+	"mimosashore.example/mimosashore/internal/store"
+)
+
+// lastRecord returns the last record of an event since the last call.
+func (f *fixture) lastRecord(event string) Record {
+	var last Record
+	for _, r := range f.core.TakeRecords() {
+		if r.Event == event {
+			last = r
+		}
+	}
+	require.NotEmpty(f.t, last.Event, "no record %q", event)
+	return last
+}
+
+// The hypotheses for a reset of an open flow, and for packets that go to another upstream, differ in
+// their evidence.
+func TestRecordsOfResetsAndReroutingsHaveTheirEvidence(t *testing.T) {
+	const age = 30 * time.Millisecond
+	lapse := func(f *fixture, c *caller, host bool) {
+		u := f.upstream(c)
+		ch := &directory.Change{Revision: 11, Removed: []directory.Removal{{Key: u.Key, Revision: 11}}}
+		if host {
+			ch.Host = otherHost
+		}
+		f.core.Apply(f.now, ch)
+	}
+	tests := []struct {
+		name  string
+		event string
+		// play leads to the event, age before the record.
+		play func(*fixture)
+		want Record
+	}{
+		{
+			name: "route missing in a confirmed directory", event: "flow reset",
+			play: func(f *fixture) {
+				c := f.openFlow(orderPort)
+				f.core.Apply(f.now, &directory.Change{Revision: 12, Configuration: &directory.Configuration{Version: 12, Revision: 12}})
+				c.request()
+				asked := f.now
+				f.advance(age)
+				f.core.Confirmed(f.now, asked)
+			},
+			want: Record{Detail: "no route", Evidence: "route is missing in the directory", Source: SourceStore, Revision: 12, Age: age},
+		},
+		{
+			name: "route missing by another host's news", event: "flow reset",
+			play: func(f *fixture) {
+				c := f.openFlow(orderPort)
+				f.core.Apply(f.now, &directory.Change{Revision: 12, Host: otherHost, Configuration: &directory.Configuration{Version: 12, Revision: 12}})
+				f.core.StoreFailed(f.now, "timeout")
+				c.request()
+				f.advance(newsDelay + age)
+				f.core.PeerAnswered(f.now, otherHost, age)
+			},
+			want: Record{Detail: "no route", Evidence: "route is missing in the directory", Source: SourceHost, SourceHost: otherHost, Revision: 12, Age: age},
+		},
+		{
+			name: "registration missing by own confirmation", event: "flow reset",
+			play: func(f *fixture) {
+				c := f.openFlow(orderPort)
+				lapse(f, c, true)
+				f.advance(lapseGrace)
+				f.confirm()
+				f.core.advance(f.now)
+				f.advance(age)
+				c.request()
+			},
+			want: Record{Detail: "upstream gone", Evidence: "registration is missing at the end of its grace period", Source: SourceStore, Revision: 11, Age: age},
+		},
+		{
+			name: "registration missing by another host's news", event: "flow reset",
+			play: func(f *fixture) {
+				c := f.openFlow(orderPort)
+				lapse(f, c, true)
+				f.advance(lapseGrace + newsDelay + age)
+				f.core.PeerAnswered(f.now, otherHost, age)
+				c.request()
+			},
+			want: Record{Detail: "upstream gone", Evidence: "registration is missing at the end of its grace period", Source: SourceHost, SourceHost: otherHost, Revision: 11, Age: age},
+		},
+		{
+			name: "another incarnation", event: "flow reset",
+			play: func(f *fixture) {
+				c := f.openFlow(orderPort)
+				again := f.upstream(c).Upstream
+				again.Incarnation++
+				again.Era, again.Revision = 1, 4
+				f.core.Apply(f.now, &directory.Change{Era: 1, Revision: 4, Host: otherHost, Upstreams: []directory.Upstream{again}})
+				f.advance(unregisteredGrace + age)
+				c.request()
+			},
+			want: Record{Detail: "upstream gone", Evidence: "another incarnation, address or service is registered", Source: SourceHost, SourceHost: otherHost, Era: 1, Revision: 4, Age: unregisteredGrace + age},
+		},
+		{
+			name: "left after draining", event: "flow reset",
+			play: func(f *fixture) {
+				c := f.openFlow(orderPort)
+				draining := f.upstream(c).Upstream
+				draining.Draining = true
+				f.register(draining)
+				f.unregister(draining.Key)
+				f.advance(unregisteredGrace + age)
+				c.request()
+			},
+			want: Record{Detail: "upstream gone", Evidence: "registration was removed", Source: SourceStore, Revision: 12, Age: unregisteredGrace + age},
+		},
+		{
+			name: "unknown token", event: "flow reset",
+			play: func(f *fixture) {
+				c := f.openFlow(orderPort)
+				c.token++
+				c.request()
+				f.advance(age)
+				asked := f.now
+				f.advance(age)
+				f.core.Apply(f.now, &directory.Change{Full: true, Revision: 13, RequestedAt: asked})
+				c.retransmit()
+			},
+			want: Record{Detail: "unknown token", Evidence: "token is missing in a full read of the directory", Source: SourceStore, Revision: 13, Age: age},
+		},
+		{
+			name: "token of another upstream on an open flow", event: "flow rerouted",
+			play: func(f *fixture) {
+				c := f.openFlow(orderPort)
+				f.advance(age)
+				c.token = TokenOf(6, 1006)
+				c.request()
+			},
+			want: Record{Detail: "token of another upstream", Upstream: "u6", Evidence: "caller sent the token of another upstream on an open flow", Source: SourceFlows, Age: age},
+		},
+		{
+			name: "handshake completed with another upstream", event: "flow rerouted",
+			play: func(f *fixture) {
+				c := f.caller(orderPort)
+				c.sendSYN()
+				f.advance(age)
+				c.token = TokenOf(6, 1006)
+				c.completeHandshake()
+			},
+			want: Record{Detail: "token of another upstream", Upstream: "u6", Evidence: "caller completed the handshake with another upstream", Source: SourceFlows, Age: age},
+		},
+		{
+			name: "retransmitted SYN moved", event: "flow rerouted",
+			play: func(f *fixture) {
+				c := f.caller(orderPort)
+				c.sendSYN()
+				f.advance(200 * time.Millisecond)
+				c.retransmitSYN(1)
+			},
+			want: Record{Detail: "moved", Evidence: "handshake timed out, and the upstream is suspect", Source: SourceFlows, Age: 200 * time.Millisecond},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.core.TakeRecords()
+			tt.play(f)
+			got := f.lastRecord(tt.event)
+			if tt.want.Upstream != "" {
+				require.Equal(t, tt.want.Upstream, got.Upstream)
+			}
+			if tt.event == "flow rerouted" {
+				require.NotEmpty(t, got.FromUpstream)
+				require.NotEqual(t, got.FromUpstream, got.Upstream)
+			}
+			require.Equal(t, tt.want.Detail, got.Detail)
+			require.Equal(t, tt.want.Evidence, got.Evidence)
+			require.Equal(t, tt.want.Source, got.Source)
+			require.Equal(t, tt.want.SourceHost, got.SourceHost)
+			require.Equal(t, store.Position{Era: store.Era(tt.want.Era), Revision: store.Revision(tt.want.Revision)}, store.Position{Era: store.Era(got.Era), Revision: store.Revision(got.Revision)})
+			require.Equal(t, tt.want.Age, got.Age)
+		})
+	}
+}
--- a/internal/dsr/fixture_test.go
+++ b/internal/dsr/fixture_test.go
@@ -112,6 +112,9 @@
 	return f
 }
 
+// otherHost is the control address of a followed host.
+var otherHost = netip.MustParseAddrPort("10.1.0.2:8166")
+
 // serviceAddress returns the address of a route with the port.
 func serviceAddress(port uint16) netip.AddrPort {
 	return netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), port)
--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -179,7 +179,7 @@
 			continue
 		}
 		p := Packet{Caller: f.key.caller, Service: f.key.service, Ack: f.lastAck, Token: u.token}
-		c.emitReset(now, &p, u, ReasonUpstreamSilent)
+		c.emitReset(now, &p, u, ReasonUpstreamSilent, u.silence())
 		c.resets = append(c.resets, p)
 		c.cache.remove(f)
 	}
--- a/internal/dsr/record.go
+++ b/internal/dsr/record.go
@@ -18,6 +18,13 @@
 	// Detail is the reason, or what the event concerns, such as the other upstream of a shared token
 	// or the name of an availability zone.
 	Detail string
+	// FromUpstream is the upstream that a flow was on before it was rerouted.
+	FromUpstream string
+	// Evidence is the fact that a reset or a rerouting is based on, Source whose observation it is, and
+	// SourceHost the other host of SourceHost.
+	Evidence   string
+	Source     Source
+	SourceHost netip.AddrPort
 	// Era and Revision are the position of the store that the decision is based on, Version the version of the
 	// configuration.
 	Era, Revision, Version uint64
--- a/internal/dsr/storestate.go
+++ b/internal/dsr/storestate.go
@@ -1,6 +1,7 @@
 package dsr
 
 import (
+	"net/netip"
 	"time"
 
 	"mimosashore.example/mimosashore/internal/directory"
@@ -11,7 +12,7 @@
 	if c.storeDown || !c.storeReached {
 		c.storeSettledAt = now + settleTime
 	}
-	c.storeAnsweredAt, c.storeReached = now, true
+	c.storeAnsweredAt, c.storeAnsweredTo, c.storeReached = now, netip.AddrPort{}, true
 	if c.storeDown {
 		c.storeDown = false
 		c.emit(Record{Event: "store answers again", HoldsFor: settleTime})
@@ -20,11 +21,14 @@
 
 // PeerAnswered records an update or a heartbeat from another host, after the update was applied.
 // storeAge is the time since the store last answered that host; negative means never.
-func (c *Core) PeerAnswered(now, storeAge time.Duration) {
-	if storeAge >= 0 {
-		c.storeAnsweredAt = max(c.storeAnsweredAt, now-storeAge)
-		c.resetUnrouted(now)
+func (c *Core) PeerAnswered(now time.Duration, host netip.AddrPort, storeAge time.Duration) {
+	if storeAge < 0 {
+		return
+	}
+	if at := now - storeAge; at > c.storeAnsweredAt {
+		c.storeAnsweredAt, c.storeAnsweredTo = at, host
 	}
+	c.resetUnrouted(now)
 }
 
 // StoreFailed records a call that the store did not answer. The cause is logged if it is the first
--- a/internal/dsr/unrouted.go
+++ b/internal/dsr/unrouted.go
@@ -1,6 +1,7 @@
 package dsr
 
 import (
+	"net/netip"
 	"time"
 
 	"mimosashore.example/mimosashore/internal/list"
@@ -17,6 +18,8 @@
 	// unroutedTime is how long a packet to an address without a route waits for the confirmation of
 	// the directory: the time until a host detects that its watch or that of its reader failed.
 	unroutedTime = 4 * time.Second
+	// factNoRoute is the evidence for a reset of a flow without a route.
+	factNoRoute = "route is missing in the directory"
 	// maxUnrouted bounds the flows that wait for the confirmation of the directory.
 	maxUnrouted = 1024
 )
@@ -25,28 +28,34 @@
 // this host does not have yet, may contain the route. An open flow, and a SYN that is not the first
 // one of its flow, are reset once the directory is confirmed up to the arrival of the packet.
 func (c *Core) handleNoRoute(now time.Duration, p *Packet) Effect {
-	if p.SYN && p.SYNRetransmits == 0 && c.refusesAtOnce(now) {
-		c.emitReset(now, p, nil, ReasonNoRoute)
-		return Effect{Action: Reset, Reason: ReasonNoRoute}
+	if p.SYN && p.SYNRetransmits == 0 {
+		if e, ok := c.refusesAtOnce(now); ok {
+			c.emitReset(now, p, nil, ReasonNoRoute, e)
+			return Effect{Action: Reset, Reason: ReasonNoRoute}
+		}
 	}
 	c.unrouted.add(now, p)
-	c.isConfirmed(now, now)
+	c.confirms(now, now, factNoRoute)
 	return Effect{Action: Drop, Reason: ReasonStaleConfiguration}
 }
 
 // refusesAtOnce reports whether the directory is recent enough to refuse the first SYN to an
-// address without a route.
-func (c *Core) refusesAtOnce(now time.Duration) bool {
+// address without a route, and returns the evidence.
+func (c *Core) refusesAtOnce(now time.Duration) (Evidence, bool) {
 	if c.storeDown {
-		return now-c.storeAnsweredAt <= refuseMaxAgeStoreDown
+		return toldBy(c.storeAnsweredTo, factNoRoute, c.directoryPosition, c.storeAnsweredAt), now-c.storeAnsweredAt <= refuseMaxAgeStoreDown
 	}
-	return c.confirmation.at != 0 && now-c.confirmation.at <= refuseMaxAge
+	return toldBy(netip.AddrPort{}, factNoRoute, c.directoryPosition, c.confirmation.at), c.confirmation.at != 0 && now-c.confirmation.at <= refuseMaxAge
 }
 
 // resetUnrouted decides on the flows without a route that have waited for the confirmation of the
 // directory: those that still have none are reset.
 func (c *Core) resetUnrouted(now time.Duration) {
-	for w := c.unrouted.order.First(); w != nil && c.isConfirmed(now, w.seenAt); w = c.unrouted.order.First() {
+	for w := c.unrouted.order.First(); w != nil; w = c.unrouted.order.First() {
+		e, ok := c.confirms(now, w.seenAt, factNoRoute)
+		if !ok {
+			return
+		}
 		key := flowKey{w.header.Caller, w.header.Service}
 		c.unrouted.remove(key)
 		if c.routes[key.service] != nil || !w.header.SYN && now < c.storeSettledAt {
@@ -55,7 +64,7 @@
 		if f := c.cache.flows[key]; f != nil {
 			c.cache.remove(f)
 		}
-		c.emitReset(now, &w.header, nil, ReasonNoRoute)
+		c.emitReset(now, &w.header, nil, ReasonNoRoute, e)
 		c.resets = append(c.resets, w.header)
 	}
 }
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -49,6 +49,7 @@
 	lost           bool
 	gone           bool
 	goneAt         time.Duration
+	goneBy         Evidence
 	slowStartUntil time.Duration
 
 	// opening is the number of flows of this host whose handshake is not completed, busy the number
@@ -158,6 +159,11 @@
 	return u.silentAt != 0 && now-u.silentAt < silenceHold
 }
 
+// silence returns the evidence that an upstream is silent.
+func (u *upstream) silence() Evidence {
+	return seenInFlows("upstream left two callers without an answer", u.reachedAt)
+}
+
 // suspect reports whether the upstream may not answer and is to be avoided.
 func (u *upstream) suspect(now time.Duration) bool {
 	if u.removeAt != 0 && !u.lost || now < u.backoff.until || now < u.zone.backoff.until {
--- a/internal/dsrhost/confirm_test.go
+++ b/internal/dsrhost/confirm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -10,6 +11,9 @@
 	"mimosashore.example/mimosashore/internal/store"
 )
 
+// otherHost is the control address of a followed host.
+var otherHost = netip.MustParseAddrPort("10.1.0.2:8166")
+
 // confirmFeed returns a feed whose directory is complete up to revision 20, a store with the given
 // position, and the feed's events.
 func confirmFeed(t *testing.T, era store.Era, revision store.Revision) (*feed, chan feedEvent) {
@@ -26,7 +30,7 @@
 	f, events := confirmFeed(t, 1, 22)
 	before := f.elapsed()
 	f.readPosition(ctx)
-	f.applyFromPeer(ctx, replica.Update{Era: 1, AtRevision: 21}, 0)
+	f.applyFromPeer(ctx, otherHost, replica.Update{Era: 1, AtRevision: 21}, 0)
 	require.Equal(t, feedPeerUpdate, (<-events).kind)
 	require.Empty(t, events, "revision 22 is missing")
 	f.applyWatch(ctx, replica.Update{Era: 1, AtRevision: 22, Events: []store.Event{{Entry: inEra(entry("config", "8", 22), 1)}}})
@@ -84,7 +88,7 @@
 	go func() {
 		defer close(done)
 		for n := range updates {
-			f.applyFromPeer(ctx, replica.Update{Era: 1, AtRevision: store.Revision(21 + 2*n), Events: []store.Event{{Entry: inEra(entry("up/a", "a", store.Revision(21+2*n)), 1)}}}, 0)
+			f.applyFromPeer(ctx, otherHost, replica.Update{Era: 1, AtRevision: store.Revision(21 + 2*n), Events: []store.Event{{Entry: inEra(entry("up/a", "a", store.Revision(21+2*n)), 1)}}}, 0)
 		}
 	}()
 	for n := range updates {
--- a/internal/dsrhost/decide.go
+++ b/internal/dsrhost/decide.go
@@ -124,7 +124,7 @@
 			d.core.Apply(now, e.change)
 			d.publishReadiness()
 		}
-		d.core.PeerAnswered(now, e.storeAge)
+		d.core.PeerAnswered(now, e.host, e.storeAge)
 	case feedConfirmed:
 		d.core.Confirmed(now, e.confirmedAt)
 	case feedConfirmationFailed:
@@ -173,7 +173,7 @@
 
 // recordFields returns the fields of a record that are set.
 func recordFields(r *dsr.Record) []zap.Field {
-	fields := make([]zap.Field, 0, 16)
+	fields := make([]zap.Field, 0, 18)
 	addr := func(name string, a netip.AddrPort) {
 		if a.IsValid() {
 			fields = append(fields, zap.String(name, a.String()))
@@ -195,7 +195,11 @@
 	text("upstream", r.Upstream)
 	addr("to", r.To)
 	number("token", uint64(r.Token))
+	text("from", r.FromUpstream)
 	text("why", r.Detail)
+	text("evidence", r.Evidence)
+	text("source", r.Source.String())
+	addr("source_host", r.SourceHost)
 	number("era", r.Era)
 	number("revision", r.Revision)
 	number("version", r.Version)
--- a/internal/dsrhost/decide_test.go
+++ b/internal/dsrhost/decide_test.go
@@ -33,6 +33,24 @@
 	}, line)
 }
 
+// The fields by which the person on call tells whose evidence a reset or a rerouting has.
+func TestEvidenceFieldNames(t *testing.T) {
+	var out bytes.Buffer
+	logger, err := logging.New(settings.Log{Level: "info", Format: settings.FormatJSON}, &out)
+	require.NoError(t, err)
+	newRecordLog(logger, logging.NewBounded(&out)).write([]dsr.Record{{
+		Event: "flow rerouted", FromUpstream: "up/b", Detail: "moved", Evidence: "registration was removed", Source: dsr.SourceHost, SourceHost: otherHost, Era: 2, Revision: 8,
+		Age: 20 * time.Millisecond,
+	}})
+	var line map[string]any
+	require.NoError(t, json.Unmarshal(out.Bytes(), &line))
+	delete(line, "time")
+	require.Equal(t, map[string]any{
+		"level": "info", "msg": "core: flow rerouted", "from": "up/b", "why": "moved", "evidence": "registration was removed", "source": "host",
+		"source_host": "10.1.0.2:8166", "era": 2.0, "revision": 8.0, "age_ms": 20.0,
+	}, line)
+}
+
 func TestResetsAreLoggedWhenRoutineLinesAreDropped(t *testing.T) {
 	var out bytes.Buffer
 	logger, err := logging.New(settings.Log{Level: "info", Format: settings.FormatJSON}, &out)
--- a/internal/dsrhost/feed.go
+++ b/internal/dsrhost/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,7 +69,8 @@
 	change *directory.Change
 	// reason is the error of a feedFailed event.
 	reason string
-	// storeAge is the time since the store last answered the sender of a feedPeerUpdate; negative if it never did.
+	// host is the sender of a feedPeerUpdate, storeAge the time since the store last answered it; negative if it never did.
+	host     netip.AddrPort
 	storeAge time.Duration
 	// confirmedAt is when the read of a feedConfirmed event was requested, as the time since the start.
 	confirmedAt time.Duration
@@ -372,13 +374,13 @@
 
 // applyFromPeer applies an update from another host, empty for a heartbeat, and passes it to the
 // core. storeAge is the time since the store last answered that host.
-func (f *feed) applyFromPeer(ctx context.Context, u replica.Update, storeAge time.Duration) {
+func (f *feed) applyFromPeer(ctx context.Context, host netip.AddrPort, u replica.Update, storeAge time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e := feedEvent{kind: feedPeerUpdate, storeAge: storeAge}
+	e := feedEvent{kind: feedPeerUpdate, host: host, storeAge: storeAge}
 	if fresh, ok := f.replica.Apply(u); ok {
 		e.change = f.translator.change(fresh)
-		e.change.FromPeer = true
+		e.change.Host = host
 	}
 	f.send(ctx, e)
 	f.announceConfirmation(ctx)
--- a/internal/dsrhost/host.go
+++ b/internal/dsrhost/host.go
@@ -150,8 +150,8 @@
 }
 
 // applyFromPeer applies an update from another host to the replica and passes it to the core.
-func (h *Host) applyFromPeer(ctx context.Context, u replica.Update, storeAge time.Duration) {
-	h.feed.applyFromPeer(ctx, u, storeAge)
+func (h *Host) applyFromPeer(ctx context.Context, host netip.AddrPort, u replica.Update, storeAge time.Duration) {
+	h.feed.applyFromPeer(ctx, host, u, storeAge)
 	h.feed.dropExpired(ctx)
 }
 
--- a/internal/dsrpeer/follow.go
+++ b/internal/dsrpeer/follow.go
@@ -69,7 +69,7 @@
 		}
 		p.settings.Log.Info("another host reads the store for this one", zap.Stringer("host", host), zap.Int64("heard_ms", n.StoreAgeMs))
 		p.storeReader.Store(&host)
-		err = p.follow(ctx, ws, n, readsStore)
+		err = p.follow(ctx, host, ws, n, readsStore)
 		p.storeReader.Store(nil)
 		if err == nil {
 			p.settings.ReaderLostStore(ctx)
@@ -150,7 +150,7 @@
 	if len(n.Update) == 0 {
 		return
 	}
-	err = p.applyMessage(ctx, n)
+	err = p.applyMessage(ctx, host, n)
 	p.settings.Log.Info("read what the store lost from another host", zap.Stringer("host", host), zap.Uint64("era", n.Era),
 		zap.Int("kept", p.settings.Replica.Kept()), zap.Error(err))
 }
@@ -188,7 +188,7 @@
 			continue
 		}
 		p.settings.Log.Info("following another host", zap.Stringer("host", host), zap.Int64("heard_ms", n.StoreAgeMs))
-		err = p.follow(ctx, ws, n, func(n *syncMessage) bool { return p.settings.NeedsPeers() && p.isFresh(n) })
+		err = p.follow(ctx, host, ws, n, func(n *syncMessage) bool { return p.settings.NeedsPeers() && p.isFresh(n) })
 		p.settings.Log.Info("stopped following another host", zap.Stringer("host", host), zap.Error(err))
 		return true
 	}
@@ -234,10 +234,10 @@
 
 // follow applies updates while the condition holds for each message, the connection
 // lasts and the other host is not in an earlier era of the store.
-func (p *Peer) follow(ctx context.Context, ws *websocket.Conn, n *syncMessage, while func(*syncMessage) bool) error {
+func (p *Peer) follow(ctx context.Context, host netip.AddrPort, ws *websocket.Conn, n *syncMessage, while func(*syncMessage) bool) error {
 	defer ws.CloseNow()
 	for {
-		if err := p.applyMessage(ctx, n); err != nil {
+		if err := p.applyMessage(ctx, host, n); err != nil {
 			return err
 		}
 		p.Stats.Followed.Add(1)
@@ -263,7 +263,7 @@
 // applyMessage applies the update of a message, if any. It returns an error if the sender
 // is behind: the time of its last answer of the store then says nothing about the
 // directory of this host.
-func (p *Peer) applyMessage(ctx context.Context, n *syncMessage) error {
+func (p *Peer) applyMessage(ctx context.Context, host netip.AddrPort, n *syncMessage) error {
 	var u replica.Update
 	if len(n.Update) > 0 {
 		var err error
@@ -281,7 +281,7 @@
 		heard := max(int64(p.settings.Now()-storeAge), 1)
 		p.storeHeardAt.Store(max(p.storeHeardAt.Load(), heard))
 	}
-	p.settings.ApplyUpdate(ctx, u, storeAge)
+	p.settings.ApplyUpdate(ctx, host, u, storeAge)
 	if behind {
 		return eris.Errorf("it is in era %d of the store, this host in a later one", n.Era)
 	}
--- a/internal/dsrpeer/peer.go
+++ b/internal/dsrpeer/peer.go
@@ -87,7 +87,7 @@
 	ReaderLostStore func(ctx context.Context)
 	// ApplyUpdate is called with an update from another host, empty for a heartbeat,
 	// and the time since the store last answered that host.
-	ApplyUpdate func(ctx context.Context, u replica.Update, storeAge time.Duration)
+	ApplyUpdate func(ctx context.Context, host netip.AddrPort, u replica.Update, storeAge time.Duration)
 	Log         logging.Logger
 	// Now returns the time since the start of the host.
 	Now func() time.Duration
--- a/internal/dsrpeer/peer_test.go
+++ b/internal/dsrpeer/peer_test.go
@@ -60,7 +60,7 @@
 		NeedsPeers: h.needsPeers.Load, StoreAge: func() time.Duration { return time.Duration(h.storeAge.Load()) },
 		StoreFailing: h.storeFailing.Load, ResumeReading: func() { h.resumed.Add(1) }, Resync: func() { h.resyncs.Add(1) },
 		ReaderLostStore: func(context.Context) { h.readerLost.Add(1) },
-		ApplyUpdate: func(_ context.Context, u replica.Update, age time.Duration) {
+		ApplyUpdate: func(_ context.Context, _ netip.AddrPort, u replica.Update, age time.Duration) {
 			h.replica.Apply(u)
 			h.mu.Lock()
 			defer h.mu.Unlock()
