dsr: an upstream without a registration keeps the flows that it answers

Cause: a host took the directory, which says who gets new flows, for proof that an upstream no longer serves its open ones. A registration is also missing while the upstream's writes are done late or get lost: then a draining upstream was gone at once, any other after 2.2 s and a confirmation, and each flow of it that had had no answer for a second, or that came from another host, was reset. An older entry under the upstream's key, written late, had the same effect.

An upstream that is gone still gets no new flows. Its open flows are reset only if it has left them without an answer for 150 ms, which shows with the caller's first retransmission, and has answered no other flow since; or if a later incarnation is registered. The exception for upstreams that answered within a second is not needed any more. The line of the reset has unanswered_ms.

--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -75,7 +75,7 @@
 
 // removeRegistration handles the removal of a registration. An upstream that was draining is gone
 // at once, unless the store has just returned or does not answer this host. Any other stays for
-// lapseGrace, since registrations also lapse while the store is down.
+// lapseGrace, since registrations also lapse while the store is down, or takes writes late.
 func (c *Core) removeRegistration(now time.Duration, u *upstream, e Evidence) {
 	if u.gone || u.removeAt != 0 {
 		return
@@ -144,6 +144,7 @@
 		return
 	}
 	if u != nil {
+		u.restarted = d.Incarnation > u.Incarnation
 		c.markGone(now, u, "restarted", toldBy(host, "another incarnation, address or service is registered", d.Position(), now))
 	}
 	// An incarnation that has left after draining doesn't come back: the entry is from the copy of
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -317,12 +317,11 @@
 	if u == nil {
 		return c.handleUnknownToken(now, p)
 	}
-	if u.gone && !c.answersUnregistered(now, u) {
+	if u.gone && u.restarted {
 		if f != nil {
 			c.cache.remove(f)
 		}
-		c.emitReset(now, p, u, ReasonUpstreamGone, u.goneBy)
-		return Effect{Action: Reset, Reason: ReasonUpstreamGone}
+		return c.resetGone(now, p, u, 0)
 	}
 	if c.configured && c.routes[p.Service] == nil {
 		if now < c.storeSettledAt {
@@ -338,26 +337,34 @@
 		c.cache.setPhase(now, f, phaseIdle)
 	}
 	if f.upstream != u {
-		c.emitRerouted(now, p, f.upstream, u, "token of another upstream", f.tokenEvidence())
+		if f.upstream.token != u.token {
+			c.emitRerouted(now, p, f.upstream, u, "token of another upstream", f.tokenEvidence())
+		}
 		c.cache.setPhase(now, f, phaseClosed)
 		f.upstream = u
 		c.cache.setPhase(now, f, phaseIdle)
 	}
 	f.route = c.routes[p.Service]
 	c.cache.touch(now, f)
+	if u.gone {
+		if unanswered := f.unansweredFor(now, p); unanswered >= goneUnanswered {
+			c.cache.remove(f)
+			return c.resetGone(now, p, u, unanswered)
+		}
+	}
 	c.observe(now, f, p)
 	if c.checkSilence(now, f) {
 		c.cache.remove(f)
-		c.emitReset(now, p, u, ReasonUpstreamSilent, u.silence())
+		c.emitReset(now, p, u, ReasonUpstreamSilent, u.silence(), now-f.progressAt)
 		return Effect{Action: Reset, Reason: ReasonUpstreamSilent}
 	}
 	return c.forwardTo(u, ReasonRouted)
 }
 
-// answersUnregistered reports whether an upstream without a registration still answers callers. That
-// is so if it has lost only its connection to the store.
-func (c *Core) answersUnregistered(now time.Duration, u *upstream) bool {
-	return u.lastAnswerAt != 0 && now-u.lastAnswerAt < unregisteredGrace && c.byKey[u.Key] == nil
+// resetGone resets a flow of an upstream that is gone.
+func (c *Core) resetGone(now time.Duration, p *Packet, u *upstream, unanswered time.Duration) Effect {
+	c.emitReset(now, p, u, ReasonUpstreamGone, u.goneBy, unanswered)
+	return Effect{Action: Reset, Reason: ReasonUpstreamGone}
 }
 
 // handleUnknownToken drops a packet with an unknown token and requests a full read of the
@@ -373,7 +380,7 @@
 		first = now
 	}
 	if first < c.fullReadAt && !c.storeDown && now >= c.storeSettledAt && c.complete {
-		c.emitReset(now, p, nil, ReasonUnknownToken, toldBy(netip.AddrPort{}, "token is missing in a full read of the directory", c.directoryPosition, c.fullReadAt))
+		c.emitReset(now, p, nil, ReasonUnknownToken, toldBy(netip.AddrPort{}, "token is missing in a full read of the directory", c.directoryPosition, c.fullReadAt), 0)
 		return Effect{Action: Reset, Reason: ReasonUnknownToken}
 	}
 	e := Effect{Action: Drop, Reason: ReasonUnknownToken}
--- a/internal/dsr/evidence.go
+++ b/internal/dsr/evidence.go
@@ -60,9 +60,13 @@
 	r.Age = now - e.At
 }
 
-// emitReset records the reset of a flow. The upstream is nil if it is not known.
-func (c *Core) emitReset(now time.Duration, p *Packet, u *upstream, reason Reason, e Evidence) {
-	rec := Record{Event: "flow reset", Caller: p.Caller, Address: p.Service, Token: p.Token, Action: Reset, Detail: reasonNames[reason], Version: c.version}
+// emitReset records the reset of a flow whose packets had no answer for the given time; zero is
+// unknown. The upstream is nil if it is not known.
+func (c *Core) emitReset(now time.Duration, p *Packet, u *upstream, reason Reason, e Evidence, unanswered time.Duration) {
+	rec := Record{
+		Event: "flow reset", Caller: p.Caller, Address: p.Service, Token: p.Token, Action: Reset, Detail: reasonNames[reason], Version: c.version,
+		Unanswered: unanswered,
+	}
 	if u != nil {
 		rec.Upstream, rec.Service = u.Key, u.Service
 	}
--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -67,6 +67,16 @@
 	}
 }
 
+// unansweredFor returns how long the flow's packets have had no answer, as a further packet arrives:
+// the time since the upstream last showed progress. It is zero if that packet acknowledges an answer,
+// or if another flow got one since.
+func (f *flow) unansweredFor(now time.Duration, p *Packet) time.Duration {
+	if !f.pending || p.HasAck && int32(p.Ack-f.lastAck) > 0 || f.upstream.reachedAt > f.progressAt {
+		return 0
+	}
+	return now - f.progressAt
+}
+
 // observeData handles a packet with data up to the given sequence number.
 func (c *Core) observeData(now time.Duration, f *flow, nextSeq uint32) {
 	if int32(nextSeq-f.nextSeq) <= 0 {
@@ -179,7 +189,7 @@
 			continue
 		}
 		p := Packet{Caller: f.key.caller, Service: f.key.service, Ack: f.lastAck, Token: u.token}
-		c.emitReset(now, &p, u, ReasonUpstreamSilent, u.silence())
+		c.emitReset(now, &p, u, ReasonUpstreamSilent, u.silence(), now-f.progressAt)
 		c.resets = append(c.resets, p)
 		c.cache.remove(f)
 	}
--- a/internal/dsr/record.go
+++ b/internal/dsr/record.go
@@ -30,6 +30,8 @@
 	Era, Revision, Version uint64
 	// Age is the age of the information behind the decision, HoldsFor how long the new state lasts.
 	Age, HoldsFor time.Duration
+	// Unanswered is how long the packets of a flow that is reset had no answer.
+	Unanswered time.Duration
 	// Considered is the number of usable upstreams, Suspect the number of those that are suspect,
 	// Open the open work of the selected one. For a configuration they are the numbers of its
 	// routes, of its skipped routes and of the routes that it replaces.
--- a/internal/dsr/unrouted.go
+++ b/internal/dsr/unrouted.go
@@ -30,7 +30,7 @@
 func (c *Core) handleNoRoute(now time.Duration, p *Packet) Effect {
 	if p.SYN && p.SYNRetransmits == 0 {
 		if e, ok := c.refusesAtOnce(now); ok {
-			c.emitReset(now, p, nil, ReasonNoRoute, e)
+			c.emitReset(now, p, nil, ReasonNoRoute, e, 0)
 			return Effect{Action: Reset, Reason: ReasonNoRoute}
 		}
 	}
@@ -64,7 +64,7 @@
 		if f := c.cache.flows[key]; f != nil {
 			c.cache.remove(f)
 		}
-		c.emitReset(now, &w.header, nil, ReasonNoRoute, e)
+		c.emitReset(now, &w.header, nil, ReasonNoRoute, e, 0)
 		c.resets = append(c.resets, w.header)
 	}
 }
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -21,9 +21,9 @@
 	// backoffMin and backoffMax bound how long an upstream or zone is avoided after a failure.
 	backoffMin = 500 * time.Millisecond
 	backoffMax = 4 * time.Second
-	// unregisteredGrace is how long after its last answer an upstream without a registration counts
-	// as running.
-	unregisteredGrace = time.Second
+	// goneUnanswered is how long an upstream without a registration must have left a flow without an
+	// answer before the flow is reset. Callers retransmit after 200 ms.
+	goneUnanswered = 150 * time.Millisecond
 	// latencyWeight is the weight of a new sample in the mean latency.
 	latencyWeight = 0.2
 	// latencyHalfLife is the time in which the excess of an upstream's mean latency over that of
@@ -46,8 +46,12 @@
 	// removeAt is when an upstream with a lapsed registration becomes gone; zero is never.
 	removeAt time.Duration
 	// lost is set while the registration is missing only because the store was restored.
-	lost           bool
+	lost bool
+	// gone is set when the registration is known to be missing or another one has replaced it. The
+	// upstream gets no new flows. It may still serve its open ones, unless it is known to have
+	// restarted.
 	gone           bool
+	restarted      bool
 	goneAt         time.Duration
 	goneBy         Evidence
 	slowStartUntil time.Duration
--- a/internal/dsrhost/decide.go
+++ b/internal/dsrhost/decide.go
@@ -213,6 +213,9 @@
 	if r.Age != 0 {
 		fields = append(fields, zap.Int64("age_ms", r.Age.Milliseconds()))
 	}
+	if r.Unanswered != 0 {
+		fields = append(fields, zap.Int64("unanswered_ms", r.Unanswered.Milliseconds()))
+	}
 	if r.HoldsFor != 0 {
 		fields = append(fields, zap.Int64("for_ms", r.HoldsFor.Milliseconds()))
 	}
