dsr: one retransmission does not show that an unregistered upstream is silent

Callers could still see their flow reset while its upstream works, if the registration is missing and the answer takes more than 200 ms: the upstream acknowledges a request of one packet with its answer, so its caller retransmits once meanwhile.

The time is now that of the other judgement of silence, 550 ms, and counts from the last answer to any flow, not to this one only. A caller of an upstream that has left is told with its second retransmission, 600 ms after its request. TestDrainingUpstreamKeepsFlowsOnHostStartedFromPeer failed before, and the changed cases of TestUnansweredFlowOfUpstreamWithoutRegistrationIsReset ask for more than before.

--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -347,7 +347,7 @@
 	f.route = c.routes[p.Service]
 	c.cache.touch(now, f)
 	if u.gone {
-		if unanswered := f.unansweredFor(now, p); unanswered >= goneUnanswered {
+		if unanswered := f.unansweredFor(now, p); unanswered >= silenceTimeout {
 			c.cache.remove(f)
 			return c.resetGone(now, p, u, unanswered)
 		}
--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -16,7 +16,9 @@
 	// minWork is the least time that a request takes a slot, after the transit is subtracted.
 	minWork = time.Millisecond
 	// silenceTimeout is how long an upstream must not have answered before a flow with an
-	// idempotent request is reset: callers retransmit after 200 and 400 ms.
+	// idempotent request, or a flow of an upstream without a registration, is reset: callers
+	// retransmit after 200 and 400 ms. The first retransmission proves nothing, since upstreams
+	// acknowledge a request of one packet with its answer.
 	silenceTimeout = 550 * time.Millisecond
 	// silenceRetransmits is the number of retransmissions that must have been seen as well.
 	silenceRetransmits = 2
@@ -67,14 +69,14 @@
 	}
 }
 
-// unansweredFor returns how long the flow's packets have had no answer, as a further packet arrives:
-// the time since the upstream last showed progress. It is zero if that packet acknowledges an answer,
-// or if another flow got one since.
+// unansweredFor returns how long the upstream has left the flow's packets, and later ones of other
+// flows, without an answer, as a further packet arrives. It is zero if that packet acknowledges an
+// answer.
 func (f *flow) unansweredFor(now time.Duration, p *Packet) time.Duration {
-	if !f.pending || p.HasAck && int32(p.Ack-f.lastAck) > 0 || f.upstream.reachedAt > f.progressAt {
+	if !f.pending || p.HasAck && int32(p.Ack-f.lastAck) > 0 {
 		return 0
 	}
-	return now - f.progressAt
+	return now - max(f.progressAt, f.countedFrom, f.upstream.reachedAt)
 }
 
 // observeData handles a packet with data up to the given sequence number.
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -21,9 +21,6 @@
 	// backoffMin and backoffMax bound how long an upstream or zone is avoided after a failure.
 	backoffMin = 500 * time.Millisecond
 	backoffMax = 4 * time.Second
-	// goneUnanswered is how long an upstream without a registration must have left a flow without an
-	// answer before the flow is reset. Callers retransmit after 200 ms.
-	goneUnanswered = 150 * time.Millisecond
 	// latencyWeight is the weight of a new sample in the mean latency.
 	latencyWeight = 0.2
 	// latencyHalfLife is the time in which the excess of an upstream's mean latency over that of
