dsr: flows of a restarted upstream go to its new incarnation if it has the same address

Callers could see an open flow reset while its upstream served: one that was opened at the running incarnation by the registration of the one before. Upstreams check the identity in front of a packet, not the token, so a host that has not heard of a restart under the same key and address, or that has the older entry of a restored store or of a late write, opens flows at the running incarnation under the old token. When the newer entry arrived, the host reset them for 'restarted'.

If the newer incarnation has the identity, address and service of the old one, packets go there; it resets flows that it does not hold, as the platform's protocol says. If it is elsewhere, the flow is reset at once as before.

TestFlowOpenedAtRestartedUpstreamBeforeItsRegistrationArrives, TestFlowOpenedByRegistrationOfRestoredCopyIsKept and TestFlowOpenedWhileLateWriteStandsIsKept failed before ('expected forward, actual reset, upstream gone'). TestRestartedUpstreamResetsOldFlows asked for a reset by the host at the same address, which is wrong; it now asks for the way to the new incarnation with its token there, and for the reset at another address or service.

--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -318,10 +318,14 @@
 		return c.handleUnknownToken(now, p)
 	}
 	if u.gone && u.restarted {
-		if f != nil {
-			c.cache.remove(f)
+		next := c.byKey[u.Key]
+		if next == nil || !next.isAtPlaceOf(u) {
+			if f != nil {
+				c.cache.remove(f)
+			}
+			return c.resetGone(now, p, u, 0)
 		}
-		return c.resetGone(now, p, u, 0)
+		u = next
 	}
 	if c.configured && c.routes[p.Service] == nil {
 		if now < c.storeSettledAt {
@@ -337,7 +341,7 @@
 		c.cache.setPhase(now, f, phaseIdle)
 	}
 	if f.upstream != u {
-		if f.upstream.token != u.token {
+		if !u.isAtPlaceOf(f.upstream) {
 			c.emitRerouted(now, p, f.upstream, u, "token of another upstream", f.tokenEvidence())
 		}
 		c.cache.setPhase(now, f, phaseClosed)
--- a/internal/dsr/evidence_test.go
+++ b/internal/dsr/evidence_test.go
@@ -103,6 +103,7 @@
 				c := f.openFlow(orderPort)
 				again := f.upstream(c).Upstream
 				again.Incarnation++
+				again.Addr = testUpstream(40, "orders", "a").Addr
 				again.Era, again.Revision = 1, 4
 				f.core.Apply(f.now, &directory.Change{Era: 1, Revision: 4, Host: otherHost, Upstreams: []directory.Upstream{again}})
 				f.advance(age)
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -45,8 +45,8 @@
 	// lost is set while the registration is missing only because the store was restored.
 	lost bool
 	// gone is set when the registration is known to be missing or another one has replaced it. The
-	// upstream gets no new flows. It may still serve its open ones, unless it is known to have
-	// restarted.
+	// upstream gets no new flows. It may still serve its open ones, unless a later incarnation has
+	// started elsewhere.
 	gone           bool
 	restarted      bool
 	goneAt         time.Duration
@@ -160,6 +160,13 @@
 	return u.silentAt != 0 && now-u.silentAt < silenceHold
 }
 
+// isAtPlaceOf reports whether packets to the other incarnation reach this one. It has the flows that
+// were opened by the registration of the other one after it started, and resets those that it does
+// not have.
+func (u *upstream) isAtPlaceOf(other *upstream) bool {
+	return u.ID == other.ID && u.Addr == other.Addr && u.Service == other.Service
+}
+
 // silence returns the evidence that an upstream is silent.
 func (u *upstream) silence() Evidence {
 	return seenInFlows("upstream left two callers without an answer", u.reachedAt)
