dsr: a registration that the store took late does not undo a newer one

A write that got no answer may be done seconds later. An earlier heartbeat of a draining upstream then took back that it drains, and new flows went to it (DRAIN); an entry of the process that had the key before looked like a restart of the running one, which got no new flows until its next heartbeat, and lost open flows before.

The core took the order of the store's revisions for the order in which upstreams wrote. Within an era, an entry of the same incarnation with a lower sequence now renews the registration without its content, and an entry of an incarnation that has ended is ignored if the upstream has answered since. An earlier start time alone proves nothing, since clocks are set back; TestRestartAfterClockWasSetBackReplacesUpstream keeps that.

TestLateHeartbeatDoesNotUndoDraining and TestLateWriteOfEndedIncarnationKeepsFlowsOfRunningOne failed before; TestLateWriteOfUnknownIncarnationKeepsFlowsThatAreAnswered has passed since.

--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -118,6 +118,15 @@
 	if u != nil && d.Position().Compare(u.Position()) < 0 {
 		return
 	}
+	if u != nil && c.isWrittenLate(u, d) {
+		c.emit(Record{Event: "registration was written late", Upstream: d.Key, Service: d.Service, Token: TokenOf(d.ID, d.Incarnation), Era: uint64(d.Era), Revision: uint64(d.Revision)})
+		if d.Incarnation != u.Incarnation {
+			return
+		}
+		current := u.Upstream
+		current.Era, current.Revision = d.Era, d.Revision
+		d = &current
+	}
 	if u != nil && u.Incarnation == d.Incarnation && u.Addr == d.Addr && u.Service == d.Service {
 		if d.Draining != u.Draining {
 			event := "upstream draining"
@@ -161,6 +170,21 @@
 	c.emit(Record{Event: "upstream registered", Upstream: d.Key, Service: d.Service, Token: n.token, To: d.Addr, Era: uint64(d.Era), Revision: uint64(d.Revision)})
 }
 
+// isWrittenLate reports whether a registration is older than that of the upstream by what the upstream
+// says, although the store took it later: a write without an answer may be done seconds later. That is
+// an earlier one of the same incarnation, or one of an incarnation that ended, if the upstream has
+// answered since. Across eras the replica decides.
+func (c *Core) isWrittenLate(u *upstream, d *directory.Upstream) bool {
+	if d.Era != u.Era {
+		return false
+	}
+	if d.Incarnation == u.Incarnation {
+		return d.Sequence < u.Sequence
+	}
+	ended := c.tokens[TokenOf(d.ID, d.Incarnation)]
+	return ended != nil && ended.gone && ended.Key == d.Key && d.Incarnation < u.Incarnation && u.lastAnswerAt > ended.goneAt
+}
+
 // setUnreadable handles a registration that names no upstream: of another writer, which may have
 // overwritten that of the upstream. The upstream keeps its open flows. If an unknown service is
 // the reason, the registration is kept until a configuration declares the service.
