dsr: an unknown token is judged by a full read from after the registrations are complete

A host that starts, or whose store was away, waits 3 s until registrations count as complete. A token that it does not know was then reset by a full read from before that: the directory of the time in which live upstreams may be missing, only judged later. Callers of an upstream whose registration had lapsed in the outage lost their open flow if the host heard of its return late, as one that follows a host whose link to the store is silent.

The full read now has to be requested after the registrations count as complete; another one is requested then. TestUnknownTokenIsNotResetByFullReadBeforeSettleTime failed before ('unknown token' at 3.56 s).

--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -372,8 +372,8 @@
 }
 
 // handleUnknownToken drops a packet with an unknown token and requests a full read of the
-// directory. Once a full read that was requested after the token was first seen does not have the
-// token either, the flow is reset.
+// directory. Once a full read that was requested after the token was first seen, and after
+// registrations counted as complete, does not have the token either, the flow is reset.
 func (c *Core) handleUnknownToken(now time.Duration, p *Packet) Effect {
 	first, seen := c.unknownTokens[p.Token]
 	if !seen {
@@ -383,7 +383,7 @@
 		c.unknownTokens[p.Token] = now
 		first = now
 	}
-	if first < c.fullReadAt && !c.storeDown && now >= c.storeSettledAt && c.complete {
+	if max(first, c.storeSettledAt) < c.fullReadAt && !c.storeDown && c.complete {
 		c.emitReset(now, p, nil, ReasonUnknownToken, toldBy(netip.AddrPort{}, "token is missing in a full read of the directory", c.directoryPosition, c.fullReadAt), 0)
 		return Effect{Action: Reset, Reason: ReasonUnknownToken}
 	}
--- a/internal/dsr/restore_test.go
+++ b/internal/dsr/restore_test.go
@@ -159,6 +159,10 @@
 	f.core.Apply(f.now, &directory.Change{Full: true, Era: 2, Revision: 6, RequestedAt: f.now})
 	require.Equal(t, Drop, c.retransmit().Action)
 	f.advance(settleTime)
+	require.Equal(t, Drop, c.retransmit().Action, "the read was requested before the registrations were complete")
+	require.True(t, c.last.Resync)
+	f.core.Apply(f.now+10*time.Millisecond, &directory.Change{Full: true, Era: 2, Revision: 6, RequestedAt: f.now + time.Millisecond})
+	f.advance(20 * time.Millisecond)
 	require.Equal(t, Reset, c.retransmit().Action)
 }
 
--- /dev/null
+++ b/internal/dsr/unknowntoken_test.go
@@ -0,0 +1,43 @@
+package dsr
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mimosashore.example/mimosashore/internal/directory"
+)
+
+// startedWithout returns a host that started while the registration of an upstream was lapsed, has
+// read the directory after the first packet of a flow there, and follows another host since.
+func startedWithout(t *testing.T, removed ...directory.Removal) (*fixture, directory.Upstream, *caller) {
+	f := &fixture{t: t, core: New("a", testFormat{}, 0), now: 350 * time.Millisecond, rev: 5}
+	u := testUpstream(1, "orders", "a")
+	f.core.StoreAnswered(f.now)
+	f.core.Apply(f.now, &directory.Change{Full: true, RequestedAt: f.now - 10*time.Millisecond, Revision: 5, Configuration: configuration(1), Removed: removed})
+	c := f.caller(orderPort)
+	c.token = TokenOf(u.ID, u.Incarnation)
+	e := c.request()
+	require.Equal(t, Drop, e.Action)
+	require.True(t, e.Resync)
+	f.advance(10 * time.Millisecond)
+	f.core.StoreAnswered(f.now)
+	f.core.Apply(f.now, &directory.Change{Full: true, RequestedAt: f.now - 5*time.Millisecond, Revision: 5, Removed: removed})
+	require.Equal(t, Drop, c.retransmit().Action)
+	return f, u, c
+}
+
+// The registration is back 1.9 s after the return of the store, which the followed host does not
+// hear: its link to the store is silent from 1.6 s on.
+func TestUnknownTokenIsNotResetByFullReadBeforeSettleTime(t *testing.T) {
+	f, u, c := startedWithout(t)
+	for f.now < 4400*time.Millisecond {
+		f.advance(400 * time.Millisecond)
+		f.core.PeerAnswered(f.now, otherHost, max(f.now-1600*time.Millisecond, 0))
+		e := c.retransmit()
+		require.Equal(t, Drop, e.Action, "%v at %v", e.Reason, f.now)
+	}
+	f.register(u)
+	require.Equal(t, Forward, c.retransmit().Action)
+}
