dsr: with callers waiting, a lapsed upstream is gone only by a confirmation

The age of the store's last answer was still evidence while a caller waited. An answer may be 0.9 s under way to the followed host and its message 1.2 s to this one, and a watch is silent for a second before a compaction: together more than the 2 s that stand for it, and a full read of several pages counts as an answer of its end. A caller whose upstream had registered again lost its flow, if the answer to it was slow.

A flow, a handshake or a waiting caller now always takes a read of the store's position; news of another host counts while the store does not answer this one, as before. Without callers nothing changes, and since a wrong verdict there resets no flow that is answered.

--- a/internal/dsr/confirm.go
+++ b/internal/dsr/confirm.go
@@ -68,14 +68,15 @@
 }
 
 // staysMissing reports whether the registration of a lapsed upstream is known to be missing still at
-// the end of its grace period, and returns the evidence. A confirmation is requested if callers wait for it; otherwise an
-// answer of the store newsDelay later is enough.
+// the end of its grace period, and returns the evidence. If callers wait for it, that takes a
+// confirmation; otherwise an answer of the store newsDelay later is enough.
 func (c *Core) staysMissing(now time.Duration, u *upstream) (Evidence, bool) {
 	const fact = "registration is missing at the end of its grace period"
-	if c.storeAnsweredAt >= u.removeAt+newsDelay {
+	waits := u.flows > 0 || u.opening > 0 || u.service.waiting > 0
+	if !waits && c.storeAnsweredAt >= u.removeAt+newsDelay {
 		return toldBy(c.storeAnsweredTo, fact, c.directoryPosition, c.storeAnsweredAt), true
 	}
-	if u.flows > 0 || u.opening > 0 || u.service.waiting > 0 || c.confirmation.at >= u.removeAt {
+	if waits || c.confirmation.at >= u.removeAt {
 		return c.confirms(now, u.removeAt, fact)
 	}
 	return Evidence{}, false
--- a/internal/dsr/evidence_test.go
+++ b/internal/dsr/evidence_test.go
@@ -91,6 +91,7 @@
 			play: func(f *fixture) {
 				c := f.openFlow(orderPort)
 				lapse(f, c, true)
+				f.core.StoreFailed(f.now, "timeout")
 				f.advance(lapseGrace + newsDelay + age)
 				f.core.PeerAnswered(f.now, otherHost, age)
 				retransmit(f, c)
--- a/internal/dsr/lapse_test.go
+++ b/internal/dsr/lapse_test.go
@@ -24,6 +24,7 @@
 	},
 	"lapsed, by another host's news": func(f *fixture, u *upstream) {
 		f.core.Apply(f.now, &directory.Change{Revision: 11, Host: otherHost, Removed: []directory.Removal{{Key: u.Key, Revision: 11}}})
+		f.core.StoreFailed(f.now, "test")
 		f.advance(lapseGrace + newsDelay)
 		f.core.PeerAnswered(f.now, otherHost, 0)
 	},
