dsr: a flow stays at its upstream when another one registers with the same token

Packets of an open flow went to another upstream if one with the same 32-bit token registered: the map of tokens prefers the one that started first, which is right for hosts that don't know the flow, and was also used by the host that has it in its cache. Of 500 upstreams two share a token in about 3 of 100,000 deployments.

A host keeps a flow at the upstream that it is on, while that one is live and has the token of the packet. TestFlowStaysAtItsUpstreamWhenAnotherOneSharesItsToken failed before (10.0.0.9 in place of 10.0.0.1).

--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -318,6 +318,9 @@
 	key := flowKey{p.Caller, p.Service}
 	f := c.cache.flows[key]
 	u := c.tokens[p.Token]
+	if f != nil && f.upstream.token == p.Token && !f.upstream.gone {
+		u = f.upstream
+	}
 	if u == nil {
 		return c.handleUnknownToken(now, p)
 	}
