dsrhost: dropping lost registrations is no answer of the store

Three seconds after a restore, a host drops the registrations that were not written again. That change, which comes from a timer, was passed on like an answer of the store: a host that the store does not answer, and that follows another one, took the store for back, and the age of its directory for zero. Judgements by that age then came too early; a reset by it was not shown.

It has an event of its own, which only applies the change. TestDropOfLostRegistrationsIsNoAnswerOfTheStore failed before (StoreDown is false).

--- a/internal/dsrhost/decide.go
+++ b/internal/dsrhost/decide.go
@@ -119,6 +119,8 @@
 		d.core.StoreAnswered(now)
 		d.core.Apply(now, e.change)
 		d.publishReadiness()
+	case feedDropped:
+		d.core.Apply(now, e.change)
 	case feedPeerUpdate:
 		if e.change != nil {
 			d.core.Apply(now, e.change)
--- a/internal/dsrhost/feed.go
+++ b/internal/dsrhost/feed.go
@@ -51,6 +51,8 @@
 const (
 	// feedChange is an answer of the store with a change.
 	feedChange feedKind = iota
+	// feedDropped is a change that follows from the host's own timer.
+	feedDropped
 	// feedAnswered is an answer of the store without a change.
 	feedAnswered
 	// feedFailed is a failed call to the store.
@@ -392,6 +394,6 @@
 	defer f.mu.Unlock()
 	if u, ok := f.replica.DropExpired(); ok {
 		f.log.Info("registrations lost by the store are dropped", positionFields(u.Position(), zap.Int("items", len(u.Events)))...)
-		f.send(ctx, feedEvent{kind: feedChange, change: f.translator.change(u)})
+		f.send(ctx, feedEvent{kind: feedDropped, change: f.translator.change(u)})
 	}
 }
