dsrworld: callers with an impaired link; flows open where their caller acknowledged

The stand-in of an upstream took any packet of a flow whose SYN it had, also if the caller had acknowledged the SYN+ACK of another upstream: requests that a host sent to the wrong one of two such upstreams ran there and were answered, unnoticed. Now a flow is open at the upstream whose seq the caller acknowledges (PROTOCOL.md); other packets are strays and are answered by a reset.

The link of a caller can lose and delay datagrams in each direction. Datagrams are read as they arrive, so that a reset has the time of its arrival. A second SYN+ACK of another upstream is ignored as before, with its echo, and counted.

`go test ./cmd/mimosad-dsr ./internal/standin/...` pass.

--- a/internal/standin/dsrworld/caller.go
+++ b/internal/standin/dsrworld/caller.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -18,6 +20,10 @@
 	initialRetransmitTimeout = 200 * time.Millisecond
 	// requestTimeout is the time limit for an answer, retransmissions included.
 	requestTimeout = 4 * time.Second
+	// minDelay is the shortest delay of a datagram on a link with Impairment.MaxDelay.
+	minDelay = 100 * time.Millisecond
+	// maxUnread is the number of datagrams that wait for a caller.
+	maxUnread = 256
 )
 
 // Errors of a caller.
@@ -35,6 +41,27 @@
 	// lastFlowPort is the port of the flow opened last. Flows differ by their port;
 	// all of them use the one socket.
 	lastFlowPort uint16
+	inbox        chan datagram
+
+	mu         sync.Mutex
+	impairment Impairment
+}
+
+// datagram is a datagram received by a caller.
+type datagram struct {
+	at   time.Time
+	from netip.AddrPort
+	data []byte
+}
+
+// Impairment is a fault of the link of a caller. The zero value is none.
+type Impairment struct {
+	// LossUp and LossDown are the fractions of the datagrams from and to the caller that
+	// are lost.
+	LossUp, LossDown float64
+	// MaxDelay is the longest delay of a datagram in each direction. Delays are random, so
+	// that datagrams overtake each other.
+	MaxDelay time.Duration
 }
 
 // NewCaller opens the socket of a caller at addr. The port is the data port of the
@@ -44,7 +71,51 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Caller{addr: addr, conn: conn, lastFlowPort: 40000}, nil
+	c := &Caller{addr: addr, conn: conn, lastFlowPort: 40000, inbox: make(chan datagram, maxUnread)}
+	go c.read()
+	return c, nil
+}
+
+// Impair sets the fault of the caller's link.
+func (c *Caller) Impair(i Impairment) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.impairment = i
+}
+
+// pass calls deliver for a datagram, at once or after its delay, unless the datagram is lost.
+func (c *Caller) pass(up bool, deliver func()) {
+	c.mu.Lock()
+	i := c.impairment
+	c.mu.Unlock()
+	loss := i.LossDown
+	if up {
+		loss = i.LossUp
+	}
+	switch {
+	case rand.Float64() < loss:
+	case i.MaxDelay > minDelay:
+		time.AfterFunc(minDelay+rand.N(i.MaxDelay-minDelay), deliver)
+	default:
+		deliver()
+	}
+}
+
+// read reads datagrams until the socket is closed.
+func (c *Caller) read() {
+	for {
+		buf := make([]byte, 2048)
+		n, from, err := c.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		c.pass(false, func() {
+			select {
+			case c.inbox <- datagram{time.Now(), from, buf[:n]}:
+			default:
+			}
+		})
+	}
 }
 
 // Close closes the socket.
@@ -73,6 +144,11 @@
 	Local netip.AddrPort
 	// SYNs are the SYNs sent, the first one and its retransmissions.
 	SYNs []SYN
+	// Sent holds the time and host of each packet sent, SYNs included.
+	Sent []SYN
+	// OtherSYNACKs is the number of SYN+ACKs received from other upstreams after the one that
+	// opened the flow.
+	OtherSYNACKs int
 	// Opened is set once an upstream accepted the flow; Upstream holds the low 32 bits of its id.
 	Opened   bool
 	Upstream uint32
@@ -130,37 +206,44 @@
 func (f *Flow) send(p packet) netip.AddrPort {
 	p.src, p.dst, p.echo = f.local, f.service, f.echo
 	host := f.nextHost()
-	// Send errors are ignored: lost packets are retransmitted.
-	_, _ = f.caller.conn.WriteToUDPAddrPort(p.encode(), host)
+	f.trace.Sent = append(f.trace.Sent, SYN{time.Now(), host})
+	b := p.encode()
+	f.caller.pass(true, func() {
+		// Send errors are ignored: lost packets are retransmitted.
+		_, _ = f.caller.conn.WriteToUDPAddrPort(b, host)
+	})
 	return host
 }
 
 // receive returns the next packet of the flow, or ErrTimeout if none arrives before
 // the given time.
 func (f *Flow) receive(until time.Time) (packet, error) {
-	buf := make([]byte, 2048)
+	timeout := time.NewTimer(time.Until(until))
+	defer timeout.Stop()
 	for {
-		if err := f.caller.conn.SetReadDeadline(until); err != nil {
-			return packet{}, err
-		}
-		n, from, err := f.caller.conn.ReadFromUDPAddrPort(buf)
-		if err != nil {
+		var d datagram
+		select {
+		case <-timeout.C:
 			return packet{}, ErrTimeout
+		case d = <-f.caller.inbox:
 		}
-		p, valid := decode(buf[:n])
+		p, valid := decode(d.data)
 		if p.dst != f.local || p.src != f.service {
 			continue
 		}
 		if p.flags&rst != 0 {
-			f.trace.Reset = &Reset{At: time.Now(), From: from, ByHost: p.checksum == 0}
+			f.trace.Reset = &Reset{At: d.at, From: d.from, ByHost: p.checksum == 0}
 			return p, ErrReset
 		}
 		if !valid {
 			return p, ErrWrongAnswer
 		}
 		// A retransmitted SYN can reach a second upstream, which answers with another
-		// SYN-ACK. It is ignored, since the flow is already open at the first.
+		// SYN-ACK. It is ignored, with its echo, since the flow is already open at the first.
 		if f.trace.Opened && p.flags&syn != 0 {
+			if p.seq != f.trace.Upstream {
+				f.trace.OtherSYNACKs++
+			}
 			continue
 		}
 		f.echo = p.echo
--- a/internal/standin/dsrworld/upstream.go
+++ b/internal/standin/dsrworld/upstream.go
@@ -54,6 +54,8 @@
 	serviceTime time.Duration
 	openings    []Opening
 	strays      []Stray
+	// arrivals holds the times of the packets of open flows, by caller.
+	arrivals map[netip.AddrPort][]time.Time
 }
 
 // upstreamFlow is a flow that the upstream accepted. Ended flows are kept, since
@@ -62,6 +64,10 @@
 	// next is the next expected sequence number.
 	next  uint32
 	ended bool
+	// open is set once the caller has acknowledged the SYN+ACK of this upstream; opening is the
+	// index of the flow's Opening.
+	open    bool
+	opening int
 }
 
 // Opening is a SYN that opened a flow at an upstream.
@@ -71,9 +77,13 @@
 	Service netip.AddrPort
 	// SYNRetransmits is the number of the retransmission; 0 is the first SYN of the flow.
 	SYNRetransmits int
+	// Acknowledged is the time at which the caller's acknowledgment arrived, which opens the
+	// flow. Zero means never.
+	Acknowledged time.Time
 }
 
-// Stray is a packet of a flow that is unknown to the upstream.
+// Stray is a packet of a flow that is unknown to the upstream, or that its caller opened at
+// another one.
 type Stray struct {
 	At     time.Time
 	Caller netip.AddrPort
@@ -87,7 +97,7 @@
 		return nil, err
 	}
 	u := &Upstream{
-		Name: fmt.Sprintf("i-%08x", id), ID: id, conn: conn, flows: make(map[netip.AddrPort]*upstreamFlow), runCounts: make(map[string]int),
+		Name: fmt.Sprintf("i-%08x", id), ID: id, conn: conn, flows: make(map[netip.AddrPort]*upstreamFlow), runCounts: make(map[string]int), arrivals: make(map[netip.AddrPort][]time.Time),
 		Registration: Registration{
 			Service: service, Addr: conn.LocalAddr().String(), Zone: zone, Version: "v1", Slots: 2, State: "ready",
 			Seq: 1, Born: time.Now().UnixMilli(),
@@ -124,6 +134,20 @@
 	return slices.Clone(u.strays)
 }
 
+// Arrivals returns the times of the packets of open flows, by caller.
+func (u *Upstream) Arrivals() map[netip.AddrPort][]time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	out := make(map[netip.AddrPort][]time.Time)
+	for caller, at := range u.arrivals {
+		out[caller] = slices.Clone(at)
+	}
+	return out
+}
+
+// LocalAddr returns the address from which the upstream answers.
+func (u *Upstream) LocalAddr() netip.AddrPort { return u.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
 // RunCounts returns the number of runs of each request.
 func (u *Upstream) RunCounts() map[string]int {
 	u.mu.Lock()
@@ -199,18 +223,27 @@
 	}
 	reply := packet{src: p.dst, dst: p.src, echo: p.echo, flags: ack}
 	f := u.flows[p.src]
+	if f != nil && p.flags&syn == 0 {
+		if !f.open && p.ack == uint32(u.ID)+1 {
+			f.open = true
+			u.openings[f.opening].Acknowledged = time.Now()
+		}
+		if f.open {
+			u.arrivals[p.src] = append(u.arrivals[p.src], time.Now())
+		}
+	}
 	switch {
 	case p.flags&syn != 0:
 		if f == nil {
-			f = &upstreamFlow{next: p.seq + 1}
+			f = &upstreamFlow{next: p.seq + 1, opening: len(u.openings)}
 			u.flows[p.src] = f
-			u.openings = append(u.openings, Opening{time.Now(), p.src, p.dst, int(p.ack)})
+			u.openings = append(u.openings, Opening{At: time.Now(), Caller: p.src, Service: p.dst, SYNRetransmits: int(p.ack)})
 		}
 		if f.next != p.seq+1 || f.ended {
 			return
 		}
 		reply.flags, reply.seq, reply.ack = syn|ack, uint32(u.ID), p.seq+1
-	case f == nil:
+	case f == nil || !f.open:
 		u.strays = append(u.strays, Stray{time.Now(), p.src})
 		reply.flags, reply.seq = rst, p.ack
 	case len(p.data) > 0 && f.ended:
