soak: FLOW also for resets by other upstreams, new routes and packets that go astray

A flow of an upstream that came back under its identity counted as open at the new start.

The check of three packets at one other upstream without any disruption stays.

--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -84,9 +84,13 @@
 type upstreamObservations struct {
 	name string
 	id   uint64
-	// openings are the SYNs that opened flows, strays the packets of unknown flows.
+	// addr is the address from which the upstream answers.
+	addr netip.AddrPort
+	// openings are the SYNs that opened flows, strays the packets of flows that are not open
+	// at the upstream, and arrivals the times of the packets of open flows.
 	openings []dsrworld.Opening
 	strays   []dsrworld.Stray
+	arrivals map[netip.AddrPort][]time.Time
 	// runs is the number of runs of each request, by its text.
 	runs map[string]int
 	// corrupted is the number of received packets that were truncated or had a wrong
@@ -99,7 +103,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, u := range r.upstreams {
-		u.observed = upstreamObservations{u.Name, u.ID, u.Openings(), u.Strays(), u.RunCounts(), u.Corrupted()}
+		u.observed = upstreamObservations{u.Name, u.ID, u.LocalAddr(), u.Openings(), u.Strays(), u.Arrivals(), u.RunCounts(), u.Corrupted()}
 	}
 }
 
--- a/internal/soak/verify.go
+++ b/internal/soak/verify.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"mimosashore.example/mimosashore/internal/standin/dsrworld"
 )
 
 const (
@@ -14,9 +16,11 @@
 	// which a host may still apply an older one.
 	versionSlack = 250 * time.Millisecond
 	// minStrayPackets packets of a flow at another upstream within strayWindow
-	// violate the rule FLOW.
+	// violate the rule FLOW; at several others, if none reaches its own meanwhile.
 	minStrayPackets = 3
 	strayWindow     = 2 * time.Second
+	// transitTime is the longest time of a packet from the caller to an upstream.
+	transitTime = time.Second
 	// maxFailuresPerRule limits the reported failures of each rule.
 	maxFailuresPerRule = 5
 )
@@ -175,52 +179,99 @@
 	}
 }
 
-// checkResets checks resets sent by hosts: a refused flow violates CONFIG if its
-// route was in force and the host did not log that it refused it because of load, a reset of an open flow FLOW if its upstream was running.
+// checkResets checks resets: a refused flow violates CONFIG if its route was in force and the
+// host did not log that it refused it because of load. A reset of an open flow by a host or by
+// another upstream violates FLOW if its own upstream was running.
 func (v *verifier) checkResets() {
 	for i := range v.flows {
 		f := &v.flows[i]
-		reset := f.trace.Reset
-		if reset == nil || !reset.ByHost {
-			continue
+		if f.trace.Opened {
+			v.countCheck("FLOW")
 		}
-		sent := f.trace.SYNs[0].At
-		routed := !slices.ContainsFunc(v.inForce(sent, reset.At), func(c configuration) bool { return c.services[f.service] == "" })
-		if !routed {
-			continue
+		reset := f.trace.Reset
+		switch {
+		case reset == nil:
+		case f.trace.Opened:
+			v.checkReset(f)
+		case reset.ByHost:
+			v.checkRefusal(f)
 		}
-		if !f.trace.Opened {
-			if v.refusedForLoad(f) {
-				continue
-			}
-			if v.settled(reset.From, sent, reset.At) {
-				v.countCheck("CONFIG")
-				v.fail("CONFIG", "%s was refused by %s at %s although its route was in force", f.service, reset.From, reset.At.Format(timeFormat))
-			}
-			continue
+	}
+}
+
+// checkRefusal checks CONFIG for a flow that a host refused.
+func (v *verifier) checkRefusal(f *flow) {
+	sent, reset := f.trace.SYNs[0].At, f.trace.Reset
+	routed := !slices.ContainsFunc(v.inForce(sent, reset.At), func(c configuration) bool { return c.services[f.service] == "" })
+	if !routed || v.refusedForLoad(f) || !v.settled(reset.From, sent, reset.At) {
+		return
+	}
+	v.countCheck("CONFIG")
+	v.fail("CONFIG", "%s was refused by %s at %s although its route was in force", f.service, reset.From, reset.At.Format(timeFormat))
+}
+
+// checkReset checks FLOW for the reset of an open flow.
+func (v *verifier) checkReset(f *flow) {
+	reset := f.trace.Reset
+	u, opening := v.holder(f, reset.At)
+	if u == nil || v.dropped(f.service, reset.At) || !v.undisrupted(u.slot, reset.At, reset.At, true) || !v.undisrupted("store", reset.At, reset.At, true) {
+		return
+	}
+	if reset.ByHost {
+		if v.undisrupted("host "+reset.From.String(), reset.At, reset.At, true) {
+			v.fail("FLOW", "%s reset %s at %s while %s was running", reset.From, f.trace.Local, reset.At.Format(timeFormat), u.observed.name)
 		}
-		u := v.instanceAt(f.trace.Upstream, reset.At)
-		if u == nil || !v.undisrupted(u.slot, reset.At, reset.At, true) || !v.undisrupted("store", reset.At, reset.At, true) || !v.undisrupted("host "+reset.From.String(), reset.At, reset.At, true) {
+		return
+	}
+	other := slices.IndexFunc(v.upstreams, func(o *upstreamInstance) bool {
+		return o.observed.addr == reset.From && (o.ended.IsZero() || o.ended.After(reset.At))
+	})
+	if other < 0 || v.upstreams[other] == u || opening.Acknowledged.IsZero() || opening.Acknowledged.After(reset.At) {
+		return
+	}
+	if o := v.upstreams[other]; v.undisrupted(o.slot, reset.At, reset.At, true) && v.hostsUndisrupted(f, reset.At, reset.At) {
+		v.fail("FLOW", "%s reset %s at %s while %s was running", o.observed.name, f.trace.Local, reset.At.Format(timeFormat), u.observed.name)
+	}
+}
+
+// holder returns the upstream that the caller opened the flow at, with the opening, if it had
+// not ended at a time. An upstream that came back under its identity holds no earlier flows.
+func (v *verifier) holder(f *flow, at time.Time) (*upstreamInstance, *dsrworld.Opening) {
+	for _, u := range v.upstreams {
+		if uint32(u.observed.id) != f.trace.Upstream || !u.ended.IsZero() && !u.ended.After(at) {
 			continue
 		}
-		v.fail("FLOW", "%s reset %s at %s while %s was running", reset.From, f.trace.Local, reset.At.Format(timeFormat), u.observed.name)
-	}
-	for i := range v.flows {
-		if v.flows[i].trace.Opened {
-			v.countCheck("FLOW")
+		for i := range u.observed.openings {
+			if o := &u.observed.openings[i]; o.Caller == f.trace.Local {
+				return u, o
+			}
 		}
 	}
+	return nil, nil
 }
 
-// instanceAt returns the upstream whose identity has the given low 32 bits and
-// that had not ended at a time, or nil.
-func (v *verifier) instanceAt(idBits uint32, at time.Time) *upstreamInstance {
-	for _, u := range v.upstreams {
-		if uint32(u.observed.id) == idBits && (u.ended.IsZero() || u.ended.After(at)) {
-			return u
+// dropped reports whether a configuration written before a time dropped a route.
+func (v *verifier) dropped(route netip.AddrPort, before time.Time) bool {
+	had := false
+	for _, c := range v.configurations {
+		if c.sent.After(before) {
+			break
 		}
+		if had && c.services[route] == "" {
+			return true
+		}
+		had = had || c.services[route] != ""
 	}
-	return nil
+	return false
+}
+
+// hostsUndisrupted reports whether the hosts to which the caller sent packets of the flow that
+// may have arrived between two times had no unplanned disruption.
+func (v *verifier) hostsUndisrupted(f *flow, from, to time.Time) bool {
+	from = from.Add(-transitTime)
+	return !slices.ContainsFunc(f.trace.Sent, func(s dsrworld.SYN) bool {
+		return !s.At.Before(from) && !s.At.After(to) && !v.undisrupted("host "+s.Host.String(), s.At, to, true)
+	})
 }
 
 // observedVersion is the range of versions that explains a host's handling of a
@@ -295,6 +346,7 @@
 
 // checkStrays checks FLOW for packets of open flows that reach other upstreams.
 func (v *verifier) checkStrays() {
+	v.checkLostFlows()
 	for _, u := range v.upstreams {
 		byCaller := make(map[netip.AddrPort][]time.Time)
 		for _, s := range u.observed.strays {
@@ -307,7 +359,7 @@
 			}
 			for i := minStrayPackets - 1; i < len(at); i++ {
 				first := at[i-minStrayPackets+1]
-				holder := v.instanceAt(f.trace.Upstream, at[i])
+				holder, _ := v.holder(f, at[i])
 				if at[i].Sub(first) <= strayWindow && holder != nil && v.allUndisrupted(first, at[i], true) {
 					v.fail("FLOW", "%d packets of %s reached %s instead of %s", minStrayPackets, caller, u.observed.name, holder.observed.name)
 					break
@@ -317,6 +369,35 @@
 	}
 }
 
+// checkLostFlows checks FLOW for open flows of which several packets reach other upstreams and
+// none its own, also while parts that the flow does not use are disrupted.
+func (v *verifier) checkLostFlows() {
+	strays := make(map[netip.AddrPort][]time.Time)
+	for _, u := range v.upstreams {
+		for _, s := range u.observed.strays {
+			if f := v.flowsByCaller[s.Caller]; f != nil && f.trace.Opened && f.trace.Upstream != uint32(u.observed.id) {
+				strays[s.Caller] = append(strays[s.Caller], s.At)
+			}
+		}
+	}
+	for caller, at := range strays {
+		f := v.flowsByCaller[caller]
+		slices.SortFunc(at, time.Time.Compare)
+		for i := minStrayPackets - 1; i < len(at); i++ {
+			first, last := at[i-minStrayPackets+1], at[i]
+			u, opening := v.holder(f, last)
+			if last.Sub(first) > strayWindow || u == nil || opening.Acknowledged.IsZero() || opening.Acknowledged.After(first) || v.dropped(f.service, last) {
+				continue
+			}
+			reached := slices.ContainsFunc(u.observed.arrivals[caller], func(t time.Time) bool { return !t.Before(first) && !t.After(last) })
+			if !reached && v.undisrupted(u.slot, first, last, true) && v.undisrupted("store", first, last, true) && v.hostsUndisrupted(f, first, last) {
+				v.fail("FLOW", "%d packets of %s reached other upstreams until %s and none %s", minStrayPackets, caller, last.Format(timeFormat), u.observed.name)
+				break
+			}
+		}
+	}
+}
+
 // checkServed checks that all requests are served while there are no disruptions
 // other than planned work.
 func (v *verifier) checkServed() {
--- a/internal/soak/verify_test.go
+++ b/internal/soak/verify_test.go
@@ -53,7 +53,10 @@
 }
 
 func newTestUpstream(id uint64, service string) *upstreamInstance {
-	return &upstreamInstance{service: service, slot: "slot " + service, observed: upstreamObservations{name: service, id: id, runs: make(map[string]int)}}
+	return &upstreamInstance{service: service, slot: "slot " + service, observed: upstreamObservations{
+		name: service, id: id, addr: netip.AddrPortFrom(netip.MustParseAddr("127.0.160.1"), uint16(id)),
+		runs: make(map[string]int), arrivals: make(map[netip.AddrPort][]time.Time),
+	}}
 }
 
 // openFlow adds a flow that a host routed to an upstream; probe is as in flow.
@@ -61,9 +64,9 @@
 	s.port++
 	self := netip.AddrPortFrom(netip.MustParseAddr("127.0.180.1"), s.port)
 	s.flows = append(s.flows, flow{service: service, probe: probe, ended: second(at + 1), trace: dsrworld.Trace{
-		Local: self, SYNs: []dsrworld.SYN{{At: second(at), Host: host}}, Opened: true, Upstream: uint32(to.observed.id),
+		Local: self, SYNs: []dsrworld.SYN{{At: second(at), Host: host}}, Sent: []dsrworld.SYN{{At: second(at), Host: host}}, Opened: true, Upstream: uint32(to.observed.id),
 	}})
-	to.observed.openings = append(to.observed.openings, dsrworld.Opening{At: second(at + 0.01), Caller: self, Service: service})
+	to.observed.openings = append(to.observed.openings, dsrworld.Opening{At: second(at + 0.01), Caller: self, Service: service, Acknowledged: second(at + 0.02)})
 	return &s.flows[len(s.flows)-1]
 }
 
@@ -84,6 +87,13 @@
 	}
 }
 
+// stray adds packets of a flow that reached an upstream at which it is not open.
+func (s *scenario) stray(f *flow, at *upstreamInstance, seconds ...float64) {
+	for _, t := range seconds {
+		at.observed.strays = append(at.observed.strays, dsrworld.Stray{At: second(t), Caller: f.trace.Local})
+	}
+}
+
 func (s *scenario) addDisruption(target string, from, to float64, planned bool) {
 	s.disruptions[target] = append(s.disruptions[target], &disruption{from: second(from), to: second(to), planned: planned})
 }
@@ -176,6 +186,56 @@
 				s.orders.observed.strays = append(s.orders.observed.strays, dsrworld.Stray{At: second(at), Caller: f.trace.Local})
 			}
 		}, "FLOW"},
+		"packets of a flow at two other upstreams while an uninvolved host is down": {func(s *scenario) {
+			third := newTestUpstream(3, sheetsService)
+			s.upstreams = append(s.upstreams, third)
+			s.addDisruption("host "+hostB.String(), 9, 12, false)
+			f := s.openFlow(10, hostA, feedRoute, s.feed, 0)
+			s.stray(f, s.orders, 10.1, 10.7)
+			s.stray(f, third, 10.3)
+		}, "FLOW"},
+		"packets of a flow at another upstream, sent by a host that was paused": {func(s *scenario) {
+			s.addDisruption("host "+hostA.String(), 9, 12, false)
+			s.stray(s.openFlow(10, hostA, feedRoute, s.feed, 0), s.orders, 10.1, 10.3, 10.7)
+		}, ""},
+		"packets of a flow at another upstream and at its own": {func(s *scenario) {
+			s.addDisruption("host "+hostB.String(), 9, 12, false)
+			f := s.openFlow(10, hostA, feedRoute, s.feed, 0)
+			s.stray(f, s.orders, 10.1, 10.3, 10.7)
+			s.feed.observed.arrivals[f.trace.Local] = []time.Time{second(10.5)}
+		}, ""},
+		"packets of a flow at another upstream, lost on the caller's link before": {func(s *scenario) {
+			s.addDisruption("caller 1", 9, 12, false)
+			s.stray(s.openFlow(10, hostA, feedRoute, s.feed, 0), s.orders, 10.1, 10.3, 10.7)
+		}, "FLOW"},
+		"packets of a flow that was never open at its upstream": {func(s *scenario) {
+			s.addDisruption("caller 1", 9, 12, false)
+			s.stray(s.openFlow(10, hostA, feedRoute, s.feed, 0), s.orders, 10.1, 10.3, 10.7)
+			s.feed.observed.openings[0].Acknowledged = time.Time{}
+		}, ""},
+		"a reset by another upstream": {func(s *scenario) {
+			s.openFlow(10, hostA, feedRoute, s.feed, 0).trace.Reset = &dsrworld.Reset{At: second(11), From: s.orders.observed.addr}
+		}, "FLOW"},
+		"a reset by the flow's own upstream": {func(s *scenario) {
+			s.openFlow(10, hostA, feedRoute, s.feed, 0).trace.Reset = &dsrworld.Reset{At: second(11), From: s.feed.observed.addr}
+		}, ""},
+		"a reset of a flow on a route that was just added": {func(s *scenario) {
+			s.openFlow(20.5, hostA, probeRoute(1), s.feed, 0).trace.Reset = &dsrworld.Reset{At: second(21), From: hostB, ByHost: true}
+		}, "FLOW"},
+		"a reset of a flow on a route that was dropped": {func(s *scenario) {
+			s.openFlow(39, hostA, probeRoute(0), s.feed, 0).trace.Reset = &dsrworld.Reset{At: second(40.1), From: hostB, ByHost: true}
+		}, ""},
+		"a reset of a flow of an earlier start of the upstream": {func(s *scenario) {
+			s.feed.ended = second(10.5)
+			again := newTestUpstream(2, feedService)
+			again.slot = "slot again"
+			s.upstreams = append(s.upstreams, again)
+			s.openFlow(10, hostA, feedRoute, s.feed, 0).trace.Reset = &dsrworld.Reset{At: second(11), From: hostB, ByHost: true}
+		}, ""},
+		"a reset while the caller's link loses datagrams": {func(s *scenario) {
+			s.addDisruption("caller 1", 9, 12, false)
+			s.openFlow(10, hostA, feedRoute, s.feed, 0).trace.Reset = &dsrworld.Reset{At: second(11), From: hostB, ByHost: true}
+		}, "FLOW"},
 		"not served without a disruption": {func(s *scenario) { s.makeRequest("r-1", 10, false, false) }, "SERVED"},
 		"not served after a kill": {func(s *scenario) {
 			s.addDisruption("host "+hostA.String(), 5, 7, false)
