soak: hosts that are followed, other writers and callers on lossy links

On the platform path there are now, in every phase but the calm ones and besides the faults of before:

- a host that others follow loses its store in each link mode, while configurations add routes and another host restarts; a fifth of the callers use the route added last
- the store is silent for 2 to 3.5 s and entries lapse, also of draining upstreams
- entries of other writers that name no upstream to use, and the registration of an upstream from before it drained or restarted, done 1 to 6 s late
- callers whose datagrams are lost or late

Quiet heartbeats write again what the store holds otherwise; the draining report has a higher seq.

--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -56,6 +58,9 @@
 	clockSetback = time.Hour
 	// minRunning is the number of upstreams of a service that faults leave running.
 	minRunning = 2
+	// minLateWrite and maxLateWrite bound the time until the store does a late write.
+	minLateWrite = time.Second
+	maxLateWrite = 6 * time.Second
 )
 
 // probeRoute returns the probe address of version n, which is routed only by
@@ -184,7 +189,7 @@
 		for _, s := range o.slots {
 			if s.instance != nil && !o.storeUnavailable {
 				s.instance.Registration.Seq++
-				if !o.quietHeartbeats || !o.store.Holds(s.instance.Key(), s.instance.Registration.State) {
+				if !o.quietHeartbeats || !o.store.Holds(s.instance.Key(), s.instance.Registration) {
 					o.store.Put(s.instance.Key(), s.instance.Registration)
 				}
 			}
@@ -236,6 +241,7 @@
 	old := s.instance
 	old.Drain()
 	old.Registration.State = "draining"
+	old.Registration.Seq++
 	o.store.Put(old.Key(), old.Registration)
 	o.markWithdrawn(old)
 	o.mu.Unlock()
@@ -301,19 +307,19 @@
 	return o.startUpstream(s, old.service, old.ID, born)
 }
 
-// failStore takes the store down for the duration. If lapse is set, all ready
+// failStore makes the store unavailable for the duration by setDown. If lapse is set, all
 // entries lapse meanwhile and are registered again within reregisterWithin.
-func (o *operator) failStore(ctx context.Context, duration time.Duration, lapse bool) {
+func (o *operator) failStore(ctx context.Context, duration time.Duration, lapse bool, setDown func(bool)) {
 	o.mu.Lock()
 	o.storeUnavailable = true
-	o.store.SetDown(true)
+	setDown(true)
 	o.mu.Unlock()
 	sleep(ctx, duration/2)
 	var lapsed []*upstreamInstance
 	if lapse {
 		o.mu.Lock()
 		for _, s := range o.slots {
-			if s.instance != nil && s.instance.Registration.State == "ready" {
+			if s.instance != nil {
 				lapsed = append(lapsed, s.instance)
 				o.store.Remove(s.instance.Key())
 			}
@@ -321,7 +327,7 @@
 		o.mu.Unlock()
 	}
 	sleep(ctx, duration/2)
-	o.store.SetDown(false)
+	setDown(false)
 	for i, u := range lapsed {
 		sleep(ctx, rand.N(reregisterWithin)/time.Duration(len(lapsed)-i))
 		o.mu.Lock()
@@ -389,6 +395,71 @@
 	o.store.PutBytes(fmt.Sprintf("servers/i-%08x", 0xff00+pick%8), []byte(values[pick%len(values)]))
 }
 
+// putWriterEntry writes the registration of an upstream with one field missing, of another type
+// or with a value that nothing names, as another writer might: under the upstream's key or, with
+// every fourth value of pick, under one of its own.
+func (o *operator) putWriterEntry(pick int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.slots[pick%len(o.slots)]
+	if s.instance == nil || o.storeUnavailable {
+		return
+	}
+	b, err := json.Marshal(s.instance.Registration)
+	var entry map[string]any
+	if err != nil || json.Unmarshal(b, &entry) != nil {
+		panic("registration can't be encoded")
+	}
+	field := slices.Sorted(maps.Keys(entry))[pick/64%len(entry)]
+	switch pick / 4 % 4 {
+	case 0:
+		delete(entry, field)
+	case 1:
+		entry[field] = []any{entry[field]}
+	case 2:
+		entry["service"] = "unknown"
+	case 3:
+		entry["state"] = "unknown"
+	}
+	key := s.instance.Key()
+	if pick%4 == 0 {
+		key = fmt.Sprintf("servers/i-%08x", 0xfe00+pick%64)
+	}
+	o.store.Put(key, entry)
+}
+
+// writeLate starts work, and writes the registration that the upstream at the slot had before
+// between minLateWrite and maxLateWrite after its start. The entry lapses if the upstream has
+// ended by then.
+func (o *operator) writeLate(ctx context.Context, s *slot, pick int, work func() error) error {
+	o.mu.Lock()
+	u := s.instance
+	key, late := u.Key(), u.Registration
+	o.mu.Unlock()
+	runs := func() bool {
+		return slices.ContainsFunc(o.slots, func(s *slot) bool { return s.instance != nil && s.instance.Key() == key })
+	}
+	var write sync.WaitGroup
+	write.Go(func() {
+		sleep(ctx, minLateWrite+time.Duration(pick%int((maxLateWrite-minLateWrite)/time.Millisecond))*time.Millisecond)
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if !o.storeUnavailable {
+			o.store.Put(key, late)
+		}
+	})
+	err := work()
+	write.Wait()
+	o.mu.Lock()
+	ended := !runs()
+	o.mu.Unlock()
+	if ended {
+		sleep(ctx, lapseAfter)
+		o.store.Remove(key)
+	}
+	return err
+}
+
 // sleep waits for a duration or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -68,6 +68,9 @@
 	if o.Restores {
 		faults = addRestores(o.Seed, faults)
 	}
+	if o.LinkFaults {
+		faults = addLinkFaults(o.Seed, faults)
+	}
 	e := &platformEnv{options: o, network: n, record: newRecord(), store: dsrworld.NewStore(), faultsStarted: time.Now()}
 	defer e.store.Close()
 	if err := e.build(random); err != nil {
@@ -194,6 +197,9 @@
 		{service: sheetsRoute},
 		{service: feedRoute, idempotent: true, long: true},
 	}
+	if e.options.LinkFaults {
+		kinds = append(kinds, client{added: true, idempotent: true, long: true})
+	}
 	for n := range e.options.Callers + proberCount {
 		caller, err := dsrworld.NewCaller(e.network.addr(callersOctet+byte(n/250), byte(n%250+1), 0).Addr(), hostDataPort)
 		if err != nil {
@@ -254,6 +260,10 @@
 	}
 	r := e.record.verify(e.deploy.applyWithin)
 	r.Faults = faults
+	r.Checks["followed"] = e.record.followed
+	for _, f := range e.record.flows {
+		r.Checks["second SYN+ACK"] += min(1, f.trace.OtherSYNACKs)
+	}
 	r.Failures = append(r.Failures, e.record.failures...)
 	for _, h := range e.hosts {
 		r.checkProcess(h.process)
--- a/internal/soak/platformfaults.go
+++ b/internal/soak/platformfaults.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
 	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"mimosashore.example/mimosashore/internal/standin/dsrworld"
 )
 
 const (
@@ -17,6 +23,15 @@
 	reloadWait = 200 * time.Millisecond
 	// Every invalidSettingsEvery-th value of pick makes a reload with invalid settings.
 	invalidSettingsEvery = 3
+	// lateRestartTime is the time that an upstream is gone in a fault of the kind lateRestartWrite.
+	lateRestartTime = 200 * time.Millisecond
+	// maxImpairedCallers is the largest number of callers whose links are impaired at once.
+	maxImpairedCallers = 3
+	// minCallerCut is the shortest time that all datagrams of a caller are lost, maxCallerCut the longest.
+	minCallerCut = 500 * time.Millisecond
+	maxCallerCut = 1500 * time.Millisecond
+	// maxCallerDelay is the longest delay of a caller's datagram.
+	maxCallerDelay = 500 * time.Millisecond
 )
 
 // inject injects a fault and returns when it is over.
@@ -37,7 +52,7 @@
 		return forEachHost(e.hosts, func(h *host) error { return e.restartHost(ctx, h) }, true)
 	case storeDown, storeLapse:
 		defer e.record.beginDisruption("store", false)()
-		e.operator.failStore(ctx, f.duration, f.kind == storeLapse)
+		e.operator.failStore(ctx, f.duration, f.kind == storeLapse, e.store.SetDown)
 	case storeRestore:
 		defer e.record.beginDisruption("store", false)()
 		e.operator.restoreStore(ctx, f.duration)
@@ -61,6 +76,15 @@
 		}
 	case invalidEntry:
 		e.operator.putInvalidEntry(f.pick)
+	case readerLink:
+		return e.disruptReader(ctx, f)
+	case storeSilence:
+		defer e.record.beginDisruption("store", false)()
+		e.operator.failStore(ctx, f.duration, true, e.silenceStore)
+	case writerEntry:
+		e.operator.putWriterEntry(f.pick)
+	case callerLink:
+		return e.disruptCallers(ctx, f)
 	default:
 		return e.injectUpstreamFault(ctx, f)
 	}
@@ -127,6 +151,85 @@
 	}
 }
 
+// silenceStore holds back the links of all hosts to the store, or opens them.
+func (e *platformEnv) silenceStore(silent bool) {
+	mode := linkOpen
+	if silent {
+		mode = linkCut
+	}
+	for _, h := range e.hosts {
+		h.store.setMode(mode)
+	}
+}
+
+// disruptReader disrupts the link to the store of a host that reads it for others, or of any
+// host if none does. Meanwhile two configurations add routes and another host restarts.
+func (e *platformEnv) disruptReader(ctx context.Context, f fault) error {
+	reader := f.pick % len(e.hosts)
+	for i := range e.hosts {
+		if r := e.readerOf(e.hosts[(f.pick+i)%len(e.hosts)]); r >= 0 {
+			reader = r
+			e.record.countFollowed()
+			break
+		}
+	}
+	var link sync.WaitGroup
+	link.Go(func() { e.setStoreLinks(ctx, []*host{e.hosts[reader]}, f) })
+	defer link.Wait()
+	sleep(ctx, f.duration/10)
+	e.operator.configure(false)
+	err := e.restartHost(ctx, e.hosts[(reader+1+f.pick%max(1, len(e.hosts)-1))%len(e.hosts)])
+	sleep(ctx, f.duration/4)
+	e.operator.configure(false)
+	return err
+}
+
+// readerOf returns the index of the host that reads the store for a host, or -1.
+func (e *platformEnv) readerOf(h *host) int {
+	var state struct{ Reader string }
+	admin := netip.AddrPortFrom(h.data.Addr(), hostAdminPort)
+	request, err := http.NewRequest(http.MethodGet, "http://"+admin.String()+"/state", nil)
+	if err != nil || do(request, &state) != nil {
+		return -1
+	}
+	return slices.IndexFunc(e.hosts, func(r *host) bool { return r.control.String() == state.Reader })
+}
+
+// disruptCallers impairs the links of a few callers; with every third value of pick a host
+// restarts meanwhile, so that the rotation changes.
+func (e *platformEnv) disruptCallers(ctx context.Context, f fault) error {
+	loss := 0.05 + float64(f.pick%36)/100
+	duration := f.duration
+	var i dsrworld.Impairment
+	switch f.pick / 36 % 6 {
+	case 0:
+		i.LossUp, i.LossDown = loss, loss
+	case 1:
+		i.LossUp = loss
+	case 2:
+		i.LossDown = loss
+	case 3:
+		i.LossUp, i.LossDown = 1, float64(f.pick%2)
+		duration = max(minCallerCut, min(duration, maxCallerCut))
+	default:
+		i.MaxDelay = maxCallerDelay
+	}
+	for n := range 1 + f.pick%maxImpairedCallers {
+		c := e.callers[(f.pick+n)%e.options.Callers]
+		defer e.record.beginDisruption("caller "+c.Addr().String(), false)()
+		c.Impair(i)
+		defer c.Impair(dsrworld.Impairment{})
+	}
+	var err error
+	var restart sync.WaitGroup
+	if f.pick%3 == 0 {
+		restart.Go(func() { err = e.restartHost(ctx, e.hosts[f.pick%len(e.hosts)]) })
+	}
+	sleep(ctx, duration)
+	restart.Wait()
+	return err
+}
+
 func (e *platformEnv) setContactLink(ctx context.Context, h *host, f fault) {
 	defer e.record.beginDisruption(h.key(), false)()
 	h.contact.setMode(f.mode)
@@ -140,7 +243,9 @@
 		return nil
 	}
 	defer e.operator.release(s)
-	defer e.record.beginDisruption(s.name, f.kind == upstreamDrain)()
+	if f.kind != lateRestartWrite {
+		defer e.record.beginDisruption(s.name, f.kind == upstreamDrain || f.kind == lateDrainWrite)()
+	}
 	switch f.kind {
 	case upstreamCrash:
 		return e.operator.crash(ctx, s, f.duration, s.instance.service)
@@ -150,6 +255,13 @@
 		return e.operator.restart(ctx, s, f.duration, f.pick%2 == 0)
 	case upstreamDrain:
 		return e.operator.drain(ctx, s)
+	case lateDrainWrite:
+		return e.operator.writeLate(ctx, s, f.pick, func() error { return e.operator.drain(ctx, s) })
+	case lateRestartWrite:
+		return e.operator.writeLate(ctx, s, f.pick, func() error {
+			defer e.record.beginDisruption(s.name, false)()
+			return e.operator.restart(ctx, s, lateRestartTime, false)
+		})
 	case upstreamLink:
 		s.link.setMode(f.mode)
 		sleep(ctx, f.duration)
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -24,6 +24,8 @@
 	hostRuns       []hostRun
 	// refusals holds the flows that hosts refused because of load, by caller.
 	refusals map[netip.AddrPort][]refusal
+	// followed is the number of faults that hit a host that read the store for others.
+	followed int
 	// failures are faults that could not be injected and failed planned stops.
 	failures []string
 }
@@ -56,7 +58,9 @@
 	began      time.Time
 	ended      time.Time
 	served     bool
-	reason     string
+	// added is set for a request on a route that was added last; hosts may not have it yet.
+	added  bool
+	reason string
 }
 
 // configuration is a version of the configuration.
@@ -131,6 +135,12 @@
 	}
 }
 
+func (r *record) countFollowed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.followed++
+}
+
 func (r *record) fail(failure string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -53,6 +53,21 @@
 	configBurst     faultKind = "configurations"
 	// invalidEntry writes an entry to the store that is no valid registration.
 	invalidEntry faultKind = "strange-entry"
+	// readerLink injects a linkMode between the store and a host that reads it for others,
+	// while configurations add routes and a host restarts.
+	readerLink faultKind = "reader-link"
+	// storeSilence holds back all links to the store, and the entries of all upstreams lapse
+	// meanwhile.
+	storeSilence faultKind = "store-silence"
+	// writerEntry is an entry of another writer that names no upstream to use, under the key of
+	// an upstream that serves or under its own.
+	writerEntry faultKind = "writer-entry"
+	// lateDrainWrite and lateRestartWrite write an upstream's registration of before it drained
+	// or restarted, seconds later.
+	lateDrainWrite   faultKind = "late-write-drain"
+	lateRestartWrite faultKind = "late-write-restart"
+	// callerLink makes the links of a few callers lose or delay datagrams.
+	callerLink faultKind = "caller-link"
 )
 
 // weightedKind is a kind with its relative frequency in a schedule.
@@ -68,6 +83,11 @@
 	{configChange, 5}, {configBurst, 1}, {invalidEntry, 1},
 }
 
+// linkFaults are added to the schedule of the platform path by addLinkFaults.
+var linkFaults = []weightedKind{
+	{readerLink, 4}, {storeSilence, 1}, {writerEntry, 4}, {lateDrainWrite, 3}, {lateRestartWrite, 2}, {callerLink, 5},
+}
+
 var productFaults = []weightedKind{
 	{hostKill, 4}, {hostPause, 4}, {hostStop, 4}, {hostsKill, 1}, {hostsRoll, 1},
 	{storeDown, 3}, {storeSlow, 2}, {storeStaleReads, 2}, {storeSilentWatches, 2}, {storeLink, 4}, {contactLink, 4},
@@ -113,6 +133,11 @@
 	maxFaultDuration = 5 * time.Second
 	// minRestore is the shortest time from the copy of the store until it is back.
 	minRestore = time.Second
+	// linkFaultGap is the mean time between faults of addLinkFaults.
+	linkFaultGap = 1500 * time.Millisecond
+	// minSilence and maxSilence bound the duration of storeSilence.
+	minSilence = 2 * time.Second
+	maxSilence = 3500 * time.Millisecond
 )
 
 // newSchedule returns the faults of a run and its length. Dense and sparse
@@ -160,6 +185,34 @@
 	return faults
 }
 
+// addLinkFaults adds linkFaults to all phases but the calm ones, from random numbers of their
+// own as addRestores does.
+func addLinkFaults(seed uint64, faults []fault) []fault {
+	random := rand.New(rand.NewPCG(seed, uint64(len(callerLink))))
+	var added []fault
+	at := initialCalm
+	for _, f := range faults {
+		if f.kind != configChange || f.duration != 0 {
+			continue
+		}
+		end := f.at - calmChangeDelay
+		for next := at; next < end; next += linkFaultGap/5 + time.Duration(random.ExpFloat64()*float64(linkFaultGap)*4/5) {
+			l := newFault(random, linkFaults)
+			l.at = next
+			l.duration = min(l.duration, end-next)
+			if l.kind == storeSilence {
+				l.duration = minSilence + time.Duration(l.pick%int((maxSilence-minSilence)/time.Millisecond))*time.Millisecond
+				l.at = min(next, end-l.duration)
+			}
+			added = append(added, l)
+		}
+		at = end + calmPhase
+	}
+	faults = append(faults, added...)
+	slices.SortStableFunc(faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
+	return faults
+}
+
 func newFault(random *rand.Rand, kinds []weightedKind) fault {
 	f := fault{pick: random.IntN(1 << 16), duration: 200*time.Millisecond + time.Duration(random.Int64N(int64(maxFaultDuration)))}
 	sum := 0
@@ -174,7 +227,7 @@
 		}
 	}
 	switch f.kind {
-	case storeLink, storeLinks, contactLink:
+	case storeLink, storeLinks, contactLink, readerLink:
 		f.mode = tcpModes[random.IntN(len(tcpModes))]
 	case upstreamLink:
 		f.mode = udpModes[random.IntN(len(udpModes))]
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -55,6 +55,9 @@
 	Product bool
 	// Restores adds restores of the store from a copy to the faults.
 	Restores bool
+	// LinkFaults adds, on the platform path, faults of hosts that read the store for others, of
+	// other writers and of callers' links.
+	LinkFaults bool
 	// Programs is the directory of the executables, Examples that of the example
 	// deployments, and Dir that of the settings and logs of the run.
 	Programs, Examples, Dir string
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -30,7 +30,9 @@
 	idempotent bool
 	// long keeps a flow open for requestsPerFlow requests; otherwise each request
 	// has its own flow.
-	long     bool
+	long bool
+	// added makes each flow use the route that was added last.
+	added    bool
 	caller   *dsrworld.Caller
 	rotation *rotation
 	record   *record
@@ -55,7 +57,10 @@
 // retried on a new flow if the request can't have run or is idempotent.
 func (c *client) sendRequest() {
 	c.requestCount++
-	q := request{id: fmt.Sprintf("r-%d-%d", c.index, c.requestCount), service: c.service, idempotent: c.idempotent, began: time.Now()}
+	if c.added && c.flow == nil {
+		c.service = c.record.newestProbeRoute()
+	}
+	q := request{id: fmt.Sprintf("r-%d-%d", c.index, c.requestCount), service: c.service, idempotent: c.idempotent, added: c.added, began: time.Now()}
 	for try := range maxAttempts {
 		mayRetry, err := c.attempt(fmt.Sprintf("%s t%d", q.id, try))
 		if err == nil {
@@ -99,6 +104,16 @@
 	c.flow, c.requestsOnFlow = nil, 0
 }
 
+// newestVersion returns the index of the newest configuration.
+func (r *record) newestVersion() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.configurations) - 1
+}
+
+// newestProbeRoute returns the probe address that the newest configuration added.
+func (r *record) newestProbeRoute() netip.AddrPort { return probeRoute(r.newestVersion()) }
+
 func (c *client) pick() netip.AddrPort {
 	return c.rotation.pick(c.zone, c.caller.LastFlowAddr(), c.service)
 }
@@ -108,10 +123,7 @@
 func probe(ctx context.Context, caller *dsrworld.Caller, r *rotation, rec *record) {
 	for ctx.Err() == nil {
 		sleep(ctx, rand.N(maxRequestPause))
-		rec.mu.Lock()
-		newest := len(rec.configurations) - 1
-		rec.mu.Unlock()
-		n := max(0, newest-rand.IntN(probeVersions+2))
+		n := max(0, rec.newestVersion()-rand.IntN(probeVersions+2))
 		i := rand.IntN(len(r.hosts))
 		if !r.includes(i) {
 			continue
--- a/internal/standin/dsrworld/caller.go
+++ b/internal/standin/dsrworld/caller.go
@@ -121,6 +121,9 @@
 // Close closes the socket.
 func (c *Caller) Close() { c.conn.Close() }
 
+// Addr returns the caller's address.
+func (c *Caller) Addr() netip.Addr { return c.addr }
+
 // LastFlowAddr returns the caller's address and port of the flow opened last or being
 // opened.
 func (c *Caller) LastFlowAddr() netip.AddrPort { return netip.AddrPortFrom(c.addr, c.lastFlowPort) }
--- a/internal/standin/dsrworld/store.go
+++ b/internal/standin/dsrworld/store.go
@@ -150,12 +150,17 @@
 	s.write(entry{Key: key, Value: value})
 }
 
-// Holds reports whether the store has a registration with the given state under the key.
-func (s *Store) Holds(key, state string) bool {
+// Holds reports whether the store has the registration under the key, with any seq.
+func (s *Store) Holds(key string, want Registration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var r Registration
-	return json.Unmarshal(s.items[key].Value, &r) == nil && r.State == state
+	var held Registration
+	if json.Unmarshal(s.items[key].Value, &held) != nil {
+		return false
+	}
+	want.Seq = held.Seq
+	b, err := json.Marshal(want)
+	return err == nil && bytes.Equal(b, s.items[key].Value)
 }
 
 // Remove removes a key.
