--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -24,6 +24,8 @@
 	hostRuns       []hostRun
 	// refusals holds the flows that hosts refused because of load, by caller.
 	refusals map[netip.AddrPort][]refusal
+	// followed is the number of faults that hit a host that read the store for others.
+	followed int
 	// failures are faults that could not be injected and failed planned stops.
 	failures []string
 }
@@ -56,7 +58,9 @@
 	began      time.Time
 	ended      time.Time
 	served     bool
-	reason     string
+	// added is set for a request on a route that was added last; hosts may not have it yet.
+	added  bool
+	reason string
 }
 
 // configuration is a version of the configuration.
@@ -84,9 +88,13 @@
 type upstreamObservations struct {
 	name string
 	id   uint64
-	// openings are the SYNs that opened flows, strays the packets of unknown flows.
+	// addr is the address from which the upstream answers.
+	addr netip.AddrPort
+	// openings are the SYNs that opened flows, strays the packets of flows that are not open
+	// at the upstream, and arrivals the times of the packets of open flows.
 	openings []dsrworld.Opening
 	strays   []dsrworld.Stray
+	arrivals map[netip.AddrPort][]time.Time
 	// runs is the number of runs of each request, by its text.
 	runs map[string]int
 	// corrupted is the number of received packets that were truncated or had a wrong
@@ -99,7 +107,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, u := range r.upstreams {
-		u.observed = upstreamObservations{u.Name, u.ID, u.Openings(), u.Strays(), u.RunCounts(), u.Corrupted()}
+		u.observed = upstreamObservations{u.Name, u.ID, u.LocalAddr(), u.Openings(), u.Strays(), u.Arrivals(), u.RunCounts(), u.Corrupted()}
 	}
 }
 
@@ -127,6 +135,12 @@
 	}
 }
 
+func (r *record) countFollowed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.followed++
+}
+
 func (r *record) fail(failure string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
