dsr: corrections after the review of the fix

- A flow of an unregistered upstream was reset by any packet 550 ms after the last progress, also by one that proved an answer, by new data or by a repeated acknowledgement.
It now takes a retransmission, and is judged after the packet has been observed.
- A later incarnation elsewhere reset flows at once; with a clock set back that may be a late write.
- A flow opened by the earlier registration lost its way when the running incarnation lapsed: the way now follows the incarnations that replaced each other (replacedBy).
- An ended incarnation at the same address counted as late because packets under its entry were answered by the running one, whose drain was then ignored (DRAIN).
Answers only tell incarnations at different addresses apart.
- One entry that stays unreadable stopped all resets for unknown tokens: it counts for 8 s, in which a live upstream writes again.
- A late entry of an undeclared service renewed the registration.
A late heartbeat of an upstream that had left brought it back.
- A repeated SYN was moved from a gone upstream that had answered a later packet: two upstreams accepted the flow.
- unanswered_ms of a silent upstream was the host's uptime.

--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -24,7 +24,6 @@
 		c.directoryPosition = ch.Position()
 	}
 	if ch.Full {
-		clear(c.unreadableKeys)
 		c.removeMissing(now, ch)
 		c.fullReadAt = ch.RequestedAt
 		if ch.FromPeer() {
@@ -40,7 +39,9 @@
 	for _, r := range ch.Removed {
 		u := c.byKey[r.Key]
 		if u == nil && r.Malformed {
-			c.unreadableKeys[r.Key] = true
+			if !c.unreadableKeys[r.Key] {
+				c.unreadableKeys[r.Key], c.unreadableUntil = true, now+unreadableTime
+			}
 		} else {
 			delete(c.unreadableKeys, r.Key)
 		}
@@ -72,6 +73,11 @@
 	for _, r := range ch.Removed {
 		present[r.Key] = true
 	}
+	for key := range c.unreadableKeys {
+		if !present[key] {
+			delete(c.unreadableKeys, key)
+		}
+	}
 	for key, u := range c.byKey {
 		if !present[key] && u.Position().Compare(ch.Position()) <= 0 {
 			c.removeRegistration(now, u, toldBy(ch.Host, factRemoved, ch.Position(), now))
@@ -125,8 +131,12 @@
 	if u != nil && d.Position().Compare(u.Position()) < 0 {
 		return
 	}
+	if u == nil && c.hasLeft(d) {
+		c.emit(Record{Event: "registration was written late", Upstream: d.Key, Service: d.Service, Token: TokenOf(d.ID, d.Incarnation), Detail: "upstream has left", Era: uint64(d.Era), Revision: uint64(d.Revision)})
+		return
+	}
 	if u != nil && c.isWrittenLate(u, d) {
-		c.emit(Record{Event: "registration was written late", Upstream: d.Key, Service: d.Service, Token: TokenOf(d.ID, d.Incarnation), Era: uint64(d.Era), Revision: uint64(d.Revision)})
+		c.emit(Record{Event: "registration was written late", Upstream: d.Key, Service: d.Service, Token: TokenOf(d.ID, d.Incarnation), Detail: "later one is kept", Era: uint64(d.Era), Revision: uint64(d.Revision)})
 		if d.Incarnation != u.Incarnation {
 			return
 		}
@@ -160,7 +170,6 @@
 		return
 	}
 	if u != nil {
-		u.restarted = d.Incarnation > u.Incarnation
 		c.markGone(now, u, "restarted", toldBy(host, "another incarnation, address or service is registered", d.Position(), now))
 	}
 	// An incarnation that has left after draining doesn't come back: the entry is from the copy of
@@ -172,24 +181,34 @@
 	if d.SlowStart > 0 {
 		n.slowStartUntil = now + d.SlowStart
 	}
+	if u != nil {
+		u.replacedBy = n
+	}
 	c.byKey[d.Key] = n
 	c.indexUpstream(n)
 	c.emit(Record{Event: "upstream registered", Upstream: d.Key, Service: d.Service, Token: n.token, To: d.Addr, Era: uint64(d.Era), Revision: uint64(d.Revision)})
 }
 
-// isWrittenLate reports whether a registration is older than that of the upstream by what the upstream
-// says, although the store took it later: a write without an answer may be done seconds later. That is
-// an earlier one of the same incarnation, or one of an incarnation that ended, if the upstream has
-// answered since. Across eras the replica decides.
+// isWrittenLate reports whether a registration is older than that of the upstream, although the store
+// took it later: a write without an answer may be done seconds later. That is an earlier one of the
+// same incarnation, or one of an incarnation that ended at another address, if the upstream has
+// answered since. Of two incarnations at one address, answers don't tell which one runs. Across eras
+// the replica decides what holds for the key.
 func (c *Core) isWrittenLate(u *upstream, d *directory.Upstream) bool {
 	if d.Era != u.Era {
 		return false
 	}
 	if d.Incarnation == u.Incarnation {
-		return d.Sequence < u.Sequence
+		return d.Sequence < u.Sequence && d.Addr == u.Addr && d.Service == u.Service
 	}
 	ended := c.tokens[TokenOf(d.ID, d.Incarnation)]
-	return ended != nil && ended.gone && ended.Key == d.Key && d.Incarnation < u.Incarnation && u.lastAnswerAt > ended.goneAt
+	return ended != nil && ended.gone && ended.Key == d.Key && !ended.hasSameEndpoint(u) && u.lastAnswerAt > ended.goneAt
+}
+
+// hasLeft reports whether a registration is an earlier one of an upstream that has left after draining.
+func (c *Core) hasLeft(d *directory.Upstream) bool {
+	known := c.tokens[TokenOf(d.ID, d.Incarnation)]
+	return known != nil && known.gone && known.Key == d.Key && known.Draining && known.Era == d.Era && d.Sequence < known.Sequence
 }
 
 // setUnreadable handles a registration that names no upstream: of another writer, which may have
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -13,6 +13,9 @@
 	// attemptTime is the time in which a caller retransmits the SYN of an attempt: 600 ms after the first
 	// one at the latest, with a margin for the way. It gives the attempt up after 1.4 s.
 	attemptTime = 1400 * time.Millisecond
+	// unreadableTime is how long a registration that can't be read may hide that of a live upstream:
+	// its next heartbeat may be written 6 s late.
+	unreadableTime = 8 * time.Second
 	// resyncInterval is the minimum time between two requests for a full read of the directory.
 	resyncInterval = time.Second
 	// maxUnknownTokens bounds the unknown tokens that await a full read.
@@ -76,8 +79,10 @@
 	nextResyncAt time.Duration
 	confirmation confirmation
 	// unreadableKeys holds the keys of registrations that can't be read and belong to no known
-	// upstream. Any of them may hide the registration of a live one.
-	unreadableKeys map[string]bool
+	// upstream. Until unreadableUntil, one of them may hide that of a live upstream, which writes it
+	// again.
+	unreadableKeys  map[string]bool
+	unreadableUntil time.Duration
 	// unknownTokens maps each token without a known upstream to when it was first seen.
 	unknownTokens map[Token]time.Duration
 
@@ -282,9 +287,11 @@
 func (c *Core) keepsUpstream(now time.Duration, f *flow) bool {
 	u := f.upstream
 	switch {
+	case u.reachedAt > f.openedAt:
+		return true
 	case u.gone:
 		return false
-	case f.phase == phaseOpening || u.reachedAt > f.openedAt:
+	case f.phase == phaseOpening:
 		return true
 	default:
 		return u.usable() && !u.suspect(now)
@@ -324,15 +331,8 @@
 	if u == nil {
 		return c.handleUnknownToken(now, p)
 	}
-	if u.gone && u.restarted {
-		next := c.byKey[u.Key]
-		if next == nil || !next.isAtPlaceOf(u) {
-			if f != nil {
-				c.cache.remove(f)
-			}
-			return c.resetGone(now, p, u, 0)
-		}
-		u = next
+	for u.gone && u.replacedBy != nil && u.replacedBy.hasSameEndpoint(u) {
+		u = u.replacedBy
 	}
 	if c.configured && c.routes[p.Service] == nil {
 		if now < c.storeSettledAt {
@@ -348,7 +348,7 @@
 		c.cache.setPhase(now, f, phaseIdle)
 	}
 	if f.upstream != u {
-		if !u.isAtPlaceOf(f.upstream) {
+		if !u.hasSameEndpoint(f.upstream) {
 			c.emitRerouted(now, p, f.upstream, u, "token of another upstream", f.tokenEvidence())
 		}
 		c.cache.setPhase(now, f, phaseClosed)
@@ -357,27 +357,22 @@
 	}
 	f.route = c.routes[p.Service]
 	c.cache.touch(now, f)
-	if u.gone {
-		if unanswered := f.unansweredFor(now, p); unanswered >= silenceTimeout {
-			c.cache.remove(f)
-			return c.resetGone(now, p, u, unanswered)
-		}
-	}
+	unanswered, progressAt := f.unansweredFor(now, p), f.progressAt
 	c.observe(now, f, p)
+	if u.gone && unanswered >= silenceTimeout && f.progressAt == progressAt {
+		c.cache.remove(f)
+		c.emitReset(now, p, u, ReasonUpstreamGone, u.goneBy, unanswered)
+		return Effect{Action: Reset, Reason: ReasonUpstreamGone}
+	}
 	if c.checkSilence(now, f) {
+		unanswered := now - f.progressAt
 		c.cache.remove(f)
-		c.emitReset(now, p, u, ReasonUpstreamSilent, u.silence(), now-f.progressAt)
+		c.emitReset(now, p, u, ReasonUpstreamSilent, u.silence(), unanswered)
 		return Effect{Action: Reset, Reason: ReasonUpstreamSilent}
 	}
 	return c.forwardTo(u, ReasonRouted)
 }
 
-// resetGone resets a flow of an upstream that is gone.
-func (c *Core) resetGone(now time.Duration, p *Packet, u *upstream, unanswered time.Duration) Effect {
-	c.emitReset(now, p, u, ReasonUpstreamGone, u.goneBy, unanswered)
-	return Effect{Action: Reset, Reason: ReasonUpstreamGone}
-}
-
 // handleUnknownToken drops a packet with an unknown token and requests a full read of the
 // directory. Once a full read that was requested after the token was first seen, and after
 // registrations counted as complete, does not have the token either, the flow is reset, unless the
@@ -392,7 +387,7 @@
 		first = now
 	}
 	missing := max(first, c.storeSettledAt) < c.fullReadAt
-	if missing && !c.storeDown && c.complete && len(c.unreadableKeys) == 0 {
+	if missing && !c.storeDown && c.complete && now >= c.unreadableUntil {
 		c.emitReset(now, p, nil, ReasonUnknownToken, toldBy(netip.AddrPort{}, "token is missing in a full read of the directory", c.directoryPosition, c.fullReadAt), 0)
 		return Effect{Action: Reset, Reason: ReasonUnknownToken}
 	}
--- a/internal/dsr/latewrite_test.go
+++ b/internal/dsr/latewrite_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"mimosashore.example/mimosashore/internal/directory"
 )
 
 // A write that got no answer may be done up to 6 s later, after the upstream has crashed and started again under its key.
@@ -13,6 +15,7 @@
 	ended := f.core.byKey["u1"].Upstream
 	running := ended
 	running.Incarnation += 5000
+	running.Addr = testUpstream(40, "orders", "a").Addr
 	f.register(running)
 	c := f.openFlow(orderPort)
 	for f.upstream(c).Key != running.Key {
@@ -63,3 +66,77 @@
 	f.register(late)
 	require.False(t, f.core.byKey["u1"].usable())
 }
+
+// An earlier heartbeat of an upstream that has drained and left may be done after its removal.
+func TestLateHeartbeatDoesNotBringBackUpstreamThatLeft(t *testing.T) {
+	f := newFixture(t)
+	late := f.core.byKey["u1"].Upstream
+	late.Sequence = 7
+	draining := late
+	draining.Sequence, draining.Draining = 8, true
+	f.register(draining)
+	f.advance(3 * time.Second)
+	f.unregister(late.Key)
+	f.advance(time.Second)
+	f.register(late)
+	u := f.core.byKey[late.Key]
+	require.False(t, u != nil && u.usable(), "it gets new flows")
+}
+
+// After the clock was set back, the running incarnation has the earlier start time. A late write of
+// the ended one must not make the host deaf to the running one.
+func TestDrainingIsKnownAfterClockWasSetBackAndLateWrite(t *testing.T) {
+	f := newFixture(t)
+	ended := f.core.byKey["u1"].Upstream
+	running := ended
+	running.Incarnation -= 500
+	f.register(running)
+	f.advance(time.Second)
+	f.register(ended)
+	c := f.openFlow(orderPort)
+	for c.last.To != running.Addr {
+		c = f.openFlow(orderPort)
+	}
+	f.advance(time.Second)
+	running.Sequence, running.Draining = 9, true
+	f.register(running)
+	require.False(t, f.core.byKey["u1"].usable(), "it gets new flows")
+}
+
+// A late write of an incarnation that ended does not reset flows of the running one at another
+// address, whose start time is earlier since the clock was set back.
+func TestLateWriteAfterClockWasSetBackKeepsFlowsAtOtherAddress(t *testing.T) {
+	f := newFixture(t)
+	ended := f.core.byKey["u1"].Upstream
+	running := ended
+	running.Incarnation -= 500
+	running.Addr = testUpstream(40, "orders", "a").Addr
+	f.register(running)
+	c := f.openFlow(orderPort)
+	for c.last.To != running.Addr {
+		c = f.openFlow(orderPort)
+	}
+	f.advance(400 * time.Millisecond)
+	c.request()
+	c.ackAnswer()
+	f.register(ended)
+	e := c.request()
+	require.Equal(t, Forward, e.Action, "%v", e.Reason)
+}
+
+// A write of the running incarnation that only renews its registration, by an entry that names an
+// undeclared service and has a lower sequence, is another writer's.
+func TestUndeclaredServiceWithLowerSequenceIsUnreadable(t *testing.T) {
+	f := newFixture(t)
+	conf := configuration(11)
+	conf.Services = []string{"orders"}
+	f.core.Apply(f.now, &directory.Change{Revision: 11, Configuration: conf})
+	f.rev = 11
+	u := f.core.byKey["u1"].Upstream
+	u.Sequence = 9
+	f.register(u)
+	other := u
+	other.Sequence, other.Service = 3, "unknown"
+	f.register(other)
+	require.True(t, f.core.byKey["u1"].unreadable)
+}
--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -15,10 +15,10 @@
 	busyTimeoutFactor = 4
 	// minWork is the least time that a request takes a slot, after the transit is subtracted.
 	minWork = time.Millisecond
-	// silenceTimeout is how long an upstream must not have answered before a flow with an
-	// idempotent request, or a flow of an upstream without a registration, is reset: callers
-	// retransmit after 200 and 400 ms. The first retransmission proves nothing, since upstreams
-	// acknowledge a request of one packet with its answer.
+	// silenceTimeout is how long an upstream must not have answered before a flow is reset: one with
+	// an idempotent request, or any flow if the upstream has no registration. Callers retransmit
+	// after 200 and 400 ms. The first retransmission proves nothing, since upstreams acknowledge a
+	// request of one packet with its answer.
 	silenceTimeout = 550 * time.Millisecond
 	// silenceRetransmits is the number of retransmissions that must have been seen as well.
 	silenceRetransmits = 2
@@ -69,11 +69,11 @@
 	}
 }
 
-// unansweredFor returns how long the upstream has left the flow's packets, and later ones of other
-// flows, without an answer, as a further packet arrives. It is zero if that packet acknowledges an
-// answer.
+// unansweredFor returns how long the upstream has answered neither the flow's packets nor later ones of
+// other flows, if the given packet repeats data; zero if not.
 func (f *flow) unansweredFor(now time.Duration, p *Packet) time.Duration {
-	if !f.pending || p.HasAck && int32(p.Ack-f.lastAck) > 0 {
+	repeats := p.Length > 0 && int32(p.Seq+uint32(p.Length)-f.nextSeq) <= 0
+	if !f.pending || !repeats {
 		return 0
 	}
 	return now - max(f.progressAt, f.countedFrom, f.upstream.reachedAt)
--- a/internal/dsr/restarted_test.go
+++ b/internal/dsr/restarted_test.go
@@ -62,3 +62,23 @@
 	require.Equal(t, Forward, e.Action, "%v", e.Reason)
 	require.Equal(t, running.Addr, e.To)
 }
+
+// A flow that was opened at the running incarnation by the registration of the one before is kept
+// also while the running one has no registration.
+func TestFlowOpenedByEarlierRegistrationSurvivesLapseOfRunningIncarnation(t *testing.T) {
+	for name, lose := range losesRegistration {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			c := f.openFlow(orderPort)
+			running := f.upstream(c).Upstream
+			running.Incarnation += 5000
+			f.advance(500 * time.Millisecond)
+			f.register(running)
+			f.advance(time.Second)
+			lose(f, f.core.byKey[running.Key])
+			e := c.request()
+			require.Equal(t, Forward, e.Action, "%v", e.Reason)
+			require.Equal(t, running.Addr, e.To)
+		})
+	}
+}
--- a/internal/dsr/unknowntoken_test.go
+++ b/internal/dsr/unknowntoken_test.go
@@ -54,3 +54,25 @@
 	f.register(u)
 	require.Equal(t, Forward, c.retransmit().Action)
 }
+
+// An entry that can't be read and that nobody overwrites hides no live upstream: a live one writes
+// its registration again.
+func TestUnknownTokenIsResetThoughUnreadableEntryStays(t *testing.T) {
+	f := newFixture(t)
+	bad := directory.Removal{Key: "junk", Revision: 11, Malformed: true}
+	f.rev = 11
+	f.core.Apply(f.now, &directory.Change{Revision: 11, Removed: []directory.Removal{bad}})
+	f.advance(time.Minute)
+	c := f.caller(orderPort)
+	c.token = 12345
+	require.True(t, c.request().Resync)
+	f.advance(10 * time.Millisecond)
+	ch := &directory.Change{Full: true, RequestedAt: f.now, Revision: 11, Removed: []directory.Removal{bad}}
+	for _, u := range f.core.byKey {
+		ch.Upstreams = append(ch.Upstreams, u.Upstream)
+	}
+	f.core.StoreAnswered(f.now)
+	f.core.Apply(f.now, ch)
+	f.advance(time.Second)
+	require.Equal(t, Reset, c.retransmit().Action)
+}
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -45,10 +45,10 @@
 	// lost is set while the registration is missing only because the store was restored.
 	lost bool
 	// gone is set when the registration is known to be missing or another one has replaced it. The
-	// upstream gets no new flows. It may still serve its open ones, unless a later incarnation has
-	// started elsewhere.
-	gone           bool
-	restarted      bool
+	// upstream gets no new flows. It may still serve its open ones.
+	gone bool
+	// replacedBy is the incarnation, or the other entry, that has its key since.
+	replacedBy     *upstream
 	goneAt         time.Duration
 	goneBy         Evidence
 	slowStartUntil time.Duration
@@ -160,10 +160,10 @@
 	return u.silentAt != 0 && now-u.silentAt < silenceHold
 }
 
-// isAtPlaceOf reports whether packets to the other incarnation reach this one. It has the flows that
-// were opened by the registration of the other one after it started, and resets those that it does
-// not have.
-func (u *upstream) isAtPlaceOf(other *upstream) bool {
+// hasSameEndpoint reports whether packets to the other incarnation reach this one. It has the flows
+// that were opened by the registration of the other one after it started, and resets those that it
+// does not have.
+func (u *upstream) hasSameEndpoint(other *upstream) bool {
 	return u.ID == other.ID && u.Addr == other.Addr && u.Service == other.Service
 }
 
