dsr: a configuration that the store took late does not undo a newer one

Within an era, a host ordered configurations by the store's revision only. A write of the operator that is done seconds late, an older version at a higher revision, put routes out of force that the newer one has, and reset their open flows. docs/PLATFORM.md already says that within a process the version only rises.

A lower version is refused within an era too, and logged. TestLateConfigurationDoesNotUndoNewerOne failed before (version 2 in place of 3).

--- a/internal/dsr/apply_test.go
+++ b/internal/dsr/apply_test.go
@@ -193,3 +193,13 @@
 	f.runTraffic(600*time.Millisecond, nil)
 	require.Equal(t, Reset, c.retransmit().Action)
 }
+
+// A configuration that the store took late does not undo a newer one.
+func TestLateConfigurationDoesNotUndoNewerOne(t *testing.T) {
+	f := newFixture(t)
+	late, newer := configuration(2), configuration(3)
+	newer.Revision, late.Revision = 21, 22
+	f.core.Apply(f.now, &directory.Change{Revision: 21, Configuration: newer})
+	f.core.Apply(f.now, &directory.Change{Revision: 22, Configuration: late})
+	require.Equal(t, uint64(3), f.core.Version())
+}
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -135,15 +135,19 @@
 // Flows returns the number of flows in the cache.
 func (c *Core) Flows() int { return len(c.cache.flows) }
 
-// applyConfiguration activates a configuration if it is newer than the active one: by its revision
-// within an era of the store, by its version otherwise.
+// applyConfiguration activates a configuration if it is newer than the active one: by its version and,
+// within an era of the store, also by its revision, since the store may take an older one late.
 func (c *Core) applyConfiguration(now time.Duration, n *directory.Configuration) {
 	if c.configured {
 		switch {
 		case n.Era == c.configEra && n.Revision <= c.configRevision, n.Era < c.configEra && n.Version <= c.version:
 			return
-		case n.Era > c.configEra && n.Version < c.version:
-			c.emit(Record{Event: "older configuration refused", Version: n.Version, Era: uint64(n.Era), Revision: uint64(n.Revision), Detail: "a restored store has it"})
+		case n.Version < c.version:
+			detail := "the store took it late"
+			if n.Era > c.configEra {
+				detail = "a restored store has it"
+			}
+			c.emit(Record{Event: "older configuration refused", Version: n.Version, Era: uint64(n.Era), Revision: uint64(n.Revision), Detail: detail})
 			return
 		}
 	}
