dsr: packets that continue an open flow stay at its upstream whatever their token

If the SYN+ACK of an upstream is lost or late, the copy of the SYN goes to a second one, through this host ('moved') or another. Both answer; the flow is open at the one whose sequence numbers the caller acknowledges, but each end puts the last token that it received into its packets, and the second answer may come last. Hosts routed by that token alone.

A host that has the open flow in its cache now keeps a packet there whose sequence numbers continue it, and writes the upstream's own token, which its next answer returns to the caller. Any other packet goes by its token.

--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -329,7 +329,7 @@
 	key := flowKey{p.Caller, p.Service}
 	f := c.cache.flows[key]
 	u := c.tokens[p.Token]
-	if f != nil && f.upstream.token == p.Token && !f.upstream.gone {
+	if f != nil && !f.upstream.gone && (f.upstream.token == p.Token || f.continuedBy(p)) {
 		u = f.upstream
 	}
 	if u == nil {
--- a/internal/dsr/flows.go
+++ b/internal/dsr/flows.go
@@ -13,6 +13,9 @@
 	// flowIdleTimeout is how long a flow without packets is kept: the longest lifetime of a flow on
 	// the platform.
 	flowIdleTimeout = 60 * time.Second
+	// maxSequenceGap bounds, in bytes, how far a packet of a flow is from the last one that this host
+	// has seen: the packets in between may have come through other hosts.
+	maxSequenceGap = 1 << 17
 	// callerWindowBytes is the most that a caller sends without an acknowledgement: 16 packets of
 	// 1,200 bytes.
 	callerWindowBytes = 16 * 1200
@@ -81,6 +84,17 @@
 	nextFree *flow
 }
 
+// continuedBy reports whether the sequence numbers of a packet continue the open flow. If two upstreams
+// answered the SYN, packets of the flow may have the token of the other one: that of the answer that
+// the caller received last. The flow is open at the upstream whose sequence numbers it acknowledges.
+func (f *flow) continuedBy(p *Packet) bool {
+	if !f.isOpen() || !p.HasAck {
+		return false
+	}
+	sent, acked := int32(p.Seq-f.nextSeq), int32(p.Ack-f.lastAck)
+	return sent >= -maxSequenceGap && sent <= maxSequenceGap && acked >= 0 && acked <= maxSequenceGap
+}
+
 // flowCache holds recently seen flows.
 type flowCache struct {
 	flows map[flowKey]*flow
