dsr: answers of an upstream that took a flow in place of another one are seen

A flow whose handshake was completed with another upstream than its SYN was sent to kept the acknowledgement of the SYN, zero. Acknowledgements in the upper half of the sequence space then counted as old: the host saw no answer of that upstream on the flow, and could take it for silent.

Sequence numbers start anew with the upstream. TestAnswersAreSeenAfterHandshakeWithAnotherUpstream failed before (last answer at 0 s).

--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -354,6 +354,8 @@
 	if f.upstream != u {
 		if !u.hasSameEndpoint(f.upstream) {
 			c.emitRerouted(now, p, f.upstream, u, "token of another upstream", f.tokenEvidence())
+			f.nextSeq, f.lastAck, f.receivedSeq = p.Seq, p.Ack, p.Seq
+			f.progressAt, f.retransmits, f.pending = now, 0, false
 		}
 		c.cache.setPhase(now, f, phaseClosed)
 		f.upstream = u
--- a/internal/dsr/token_test.go
+++ b/internal/dsr/token_test.go
@@ -60,3 +60,18 @@
 	require.Equal(t, f.core.byKey["u6"].Addr, c.completeHandshake().To)
 	require.Equal(t, f.core.byKey["u6"].Addr, c.request().To)
 }
+
+// Guards against an upstream whose answers are not seen, since the acknowledgements of a flow that it
+// completed in place of another one were compared with those of the other.
+func TestAnswersAreSeenAfterHandshakeWithAnotherUpstream(t *testing.T) {
+	f := newFixture(t)
+	c := f.caller(orderPort)
+	c.sendSYN()
+	other := f.core.byKey["u6"]
+	c.token, c.seq, c.ack = other.token, 101, 3<<30
+	c.send(flagACK, 0, 0)
+	c.request()
+	f.advance(50 * time.Millisecond)
+	c.ackAnswer()
+	require.Equal(t, f.now, other.lastAnswerAt)
+}
