mimosad-dsr: the test of lapsed registrations waits until hosts have judged

The hosts of the test were younger than 3 s when the registration was removed, and had not found the upstream gone when the requests came, so the draining case repeated the other one. The test now waits for both.

--- a/cmd/mimosad-dsr/lapse_test.go
+++ b/cmd/mimosad-dsr/lapse_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -10,7 +11,7 @@
 // Guards against a reset of an open flow because the registration of its upstream has lapsed while
 // it serves: its writes are done late, or not at all.
 func TestOpenFlowSurvivesLapseOfRegistrationWhileUpstreamServes(t *testing.T) {
-	for _, state := range []string{"ready", "draining"} {
+	for state, why := range map[string]string{"ready": "registration stayed away", "draining": "left after draining"} {
 		t.Run(state, func(t *testing.T) {
 			t.Parallel()
 			f := newFleet(t, 2)
@@ -24,12 +25,22 @@
 					f.awaitLog(h, "upstream draining", u.Key())
 				}
 			}
+			// Registrations count as complete 3 s after the start of a host.
+			time.Sleep(3500 * time.Millisecond)
 			f.store.Remove(u.Key())
-			// The grace period ends after 2.2 s, and the host then hears of the store for another 2 s.
+			// A host judges with the next packet, after the grace period of 2.2 s and another 2 s.
 			for n := range 50 {
 				f.store.Put("other/x", n)
 				time.Sleep(100 * time.Millisecond)
 			}
+			for _, h := range f.hosts {
+				require.Eventually(t, func() bool {
+					other, err := f.caller().Open(orders, func() netip.AddrPort { return h.data })
+					require.NoError(t, err)
+					other.Close()
+					return countLines(h, "upstream gone", u.Key(), why) > 0
+				}, waitTimeout, 100*time.Millisecond)
+			}
 			for range 2 {
 				_, err := flow.Request("while the registration is missing")
 				require.NoError(t, err)
