--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -191,6 +191,17 @@
 	return out
 }
 
+// shadowed returns the entries of the store in whose place kept ones hold until they expire.
+func (r *Replica) shadowed() []store.Event {
+	var out []store.Event
+	for key := range r.kept {
+		if e, ok := r.items[key]; ok && r.now() < r.keptUntil {
+			out = append(out, store.Event{Entry: e})
+		}
+	}
+	return out
+}
+
 func (r *Replica) publish(u Update) {
 	for s := range r.subscribers {
 		select {
@@ -213,12 +224,14 @@
 	return Update{Full: true, Era: r.position.Era, AtRevision: r.position.Revision, Events: r.events(), KeptFor: r.keptFor(), Change: r.changes}
 }
 
-// Subscribe returns a snapshot and a subscription to the updates that follow it.
+// Subscribe returns a snapshot and a subscription to the updates that follow it. The snapshot has the
+// stored entries behind kept ones too, since the replica of its receiver counts as complete.
 // The snapshot is empty, at the zero position, if the replica has no data yet.
 func (r *Replica) Subscribe() (Update, *Subscription) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	snapshot := r.snapshot()
+	snapshot.Events = append(snapshot.Events, r.shadowed()...)
 	s := &Subscription{C: make(chan Update, subscriberQueueSize)}
 	r.subscribers[s] = struct{}{}
 	return snapshot, s
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -210,3 +210,20 @@
 	require.Equal(t, before.Position(), after.Position())
 	require.NotEqual(t, before.Change, after.Change)
 }
+
+// Guards against a host that started from the snapshot of a host that kept a lost entry, and then
+// lacks what the store has under that key.
+func TestStoredEntryBehindKeptOneReachesStartedReplica(t *testing.T) {
+	other, _ := newReplica()
+	other.Apply(Update{Full: true, Era: 1, AtRevision: 9, Events: []store.Event{value("a", "2", 1, 9)}})
+	other.Apply(Update{Full: true, Era: 2, AtRevision: 9, Events: []store.Event{value("a", "1", 2, 9)}})
+	started, now := newReplica()
+	snapshot, _ := other.Subscribe()
+	_, ok := started.Apply(snapshot)
+	require.True(t, ok)
+	// Its own full read at the same position holds nothing new.
+	started.Apply(Update{Full: true, Era: 2, AtRevision: 9, Events: []store.Event{value("a", "1", 2, 9)}})
+	*now += directory.RewriteTime
+	_, _ = started.DropExpired()
+	require.Equal(t, map[string]string{"a": "1"}, contents(started))
+}
