dsr: packets to an upstream without a registration are counted; more tests of late writes

On call, 'no reset' could not be told from 'did not occur': packets that a host sends on to an upstream that is gone by its directory had no trace. They are counted under a reason of their own, unregistered.

Tests for what a mutation of the late writes survived: a lower sequence in another era, an ended incarnation whose successor has not answered, another identity at the same address; and the instant before registrations count as complete, which TestUnknownTokenResetsOnlyAfterFullRead asked for before.

--- a/internal/dsr/apply_test.go
+++ b/internal/dsr/apply_test.go
@@ -88,7 +88,9 @@
 	require.Equal(t, Drop, c.retransmit().Action, "no reset while the store is down")
 	f.core.StoreAnswered(f.now)
 	require.Equal(t, Drop, c.retransmit().Action, "registrations may not be restored yet")
-	f.advance(settleTime)
+	f.advance(settleTime - time.Millisecond)
+	require.Equal(t, Drop, c.retransmit().Action)
+	f.advance(resyncInterval)
 	require.Equal(t, Drop, c.retransmit().Action, "the read was requested before they were")
 	require.True(t, c.last.Resync)
 	ch.RequestedAt = f.now + time.Millisecond
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -376,6 +376,9 @@
 		c.emitReset(now, p, u, ReasonUpstreamSilent, u.silence(), unanswered)
 		return Effect{Action: Reset, Reason: ReasonUpstreamSilent}
 	}
+	if u.gone {
+		return c.forwardTo(u, ReasonUnregistered)
+	}
 	return c.forwardTo(u, ReasonRouted)
 }
 
--- a/internal/dsr/dsr.go
+++ b/internal/dsr/dsr.go
@@ -92,6 +92,9 @@
 const (
 	// ReasonRouted means that the token identifies the upstream.
 	ReasonRouted Reason = iota
+	// ReasonUnregistered means that the token identifies an upstream without a registration, which may
+	// still serve.
+	ReasonUnregistered
 	// ReasonPlaced means that a new flow was assigned an upstream.
 	ReasonPlaced
 	// ReasonSYNRetransmit means that a retransmitted SYN goes to the upstream of the first one.
@@ -131,7 +134,7 @@
 
 // reasonNames holds the names in logs and metrics. ReasonSYNRetransmit is "copy" there.
 var reasonNames = [reasonCount]string{
-	"routed", "placed", "copy", "moved", "malformed", "no configuration", "no route", "stale configuration", "no upstream",
+	"routed", "unregistered", "placed", "copy", "moved", "malformed", "no configuration", "no route", "stale configuration", "no upstream",
 	"paced", "overloaded", "no token", "unknown token", "upstream gone", "upstream silent",
 }
 
--- a/internal/dsr/lapse_test.go
+++ b/internal/dsr/lapse_test.go
@@ -53,6 +53,7 @@
 				for range 3 {
 					f.advance(2 * time.Second)
 					require.Equal(t, Forward, c.request().Action)
+					require.Equal(t, ReasonUnregistered, c.last.Reason)
 					require.Equal(t, u.Addr, c.last.To)
 					f.advance(50 * time.Millisecond)
 					require.Equal(t, Forward, c.ackAnswer().Action)
--- a/internal/dsr/latewrite_test.go
+++ b/internal/dsr/latewrite_test.go
@@ -140,3 +140,38 @@
 	f.register(other)
 	require.True(t, f.core.byKey["u1"].unreadable)
 }
+
+// What looks like a late write may be the state of the upstream: after a restore, and where nothing
+// shows that the registered incarnation runs.
+func TestRegistrationThatIsNotWrittenLateIsApplied(t *testing.T) {
+	t.Run("lower sequence in a later era", func(t *testing.T) {
+		f := newFixture(t)
+		d := f.core.byKey["u1"].Upstream
+		d.Sequence, d.Draining = 8, true
+		f.register(d)
+		d.Sequence, d.Draining, d.Era = 7, false, 1
+		f.core.Apply(f.now, &directory.Change{Era: 1, Revision: 3, Upstreams: []directory.Upstream{d}})
+		require.False(t, f.core.byKey["u1"].Draining)
+	})
+	t.Run("incarnation that ended, of which the next one has not answered", func(t *testing.T) {
+		f := newFixture(t)
+		first := f.core.byKey["u1"].Upstream
+		next := first
+		next.Incarnation += 5000
+		next.Addr = testUpstream(40, "orders", "a").Addr
+		f.register(next)
+		f.register(first)
+		require.Equal(t, first.Incarnation, f.core.byKey["u1"].Incarnation)
+	})
+}
+
+// An upstream with another identity at the same address does not take the flows.
+func TestFlowsDoNotGoToOtherIdentityAtSameAddress(t *testing.T) {
+	f := newFixture(t)
+	c := f.openFlow(orderPort)
+	next := f.upstream(c).Upstream
+	next.ID, next.Incarnation = next.ID+100, next.Incarnation+5000
+	f.register(next)
+	e := c.request()
+	require.NotEqual(t, next.ID, e.ID)
+}
