dsr: a host that has just started does not judge unknown tokens before late writes are done

A host that starts while the registration of a live upstream is missing does not know its token, and reset its open flows 3 s later. Writes may be done 6 s late, and upstreams write every 1.2 s. Hosts that were running know the token.

Unknown tokens are judged by a full read from 8 s after the start. Their packets are dropped until then, and one full read is made for a token before, not one a second.

--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -38,13 +38,6 @@
 	}
 	for _, r := range ch.Removed {
 		u := c.byKey[r.Key]
-		if u == nil && r.Malformed {
-			if !c.unreadableKeys[r.Key] {
-				c.unreadableKeys[r.Key], c.unreadableUntil = true, now+unreadableTime
-			}
-		} else {
-			delete(c.unreadableKeys, r.Key)
-		}
 		switch {
 		case u == nil || r.Position().Compare(u.Position()) <= 0:
 		case r.Malformed:
@@ -57,7 +50,9 @@
 		c.applyConfiguration(now, ch.Configuration)
 	}
 	if ch.Full {
-		c.complete = true
+		if !c.complete {
+			c.complete, c.tokensKnownAt = true, now+tokensUnknownTime
+		}
 		if !ch.FromPeer() {
 			c.Confirmed(now, ch.RequestedAt)
 		}
@@ -73,11 +68,6 @@
 	for _, r := range ch.Removed {
 		present[r.Key] = true
 	}
-	for key := range c.unreadableKeys {
-		if !present[key] {
-			delete(c.unreadableKeys, key)
-		}
-	}
 	for key, u := range c.byKey {
 		if !present[key] && u.Position().Compare(ch.Position()) <= 0 {
 			c.removeRegistration(now, u, toldBy(ch.Host, factRemoved, ch.Position(), now))
@@ -126,7 +116,6 @@
 // applyUpstream updates an upstream or adds it, by a registration that the host with the address told;
 // an invalid address is the store. A new incarnation, address or service replaces the old upstream.
 func (c *Core) applyUpstream(now time.Duration, d *directory.Upstream, host netip.AddrPort) {
-	delete(c.unreadableKeys, d.Key)
 	u := c.byKey[d.Key]
 	if u != nil && d.Position().Compare(u.Position()) < 0 {
 		return
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -13,9 +13,9 @@
 	// attemptTime is the time in which a caller retransmits the SYN of an attempt: 600 ms after the first
 	// one at the latest, with a margin for the way. It gives the attempt up after 1.4 s.
 	attemptTime = 1400 * time.Millisecond
-	// unreadableTime is how long a registration that can't be read may hide that of a live upstream:
-	// its next heartbeat may be written 6 s late.
-	unreadableTime = 8 * time.Second
+	// tokensUnknownTime is how long after the start of a host the registration of a live upstream may
+	// not have reached it: upstreams write every 1.2 s, and a write may be done 6 s late.
+	tokensUnknownTime = 8 * time.Second
 	// resyncInterval is the minimum time between two requests for a full read of the directory.
 	resyncInterval = time.Second
 	// maxUnknownTokens bounds the unknown tokens that await a full read.
@@ -61,8 +61,10 @@
 	// the directory.
 	era               store.Era
 	directoryPosition store.Position
-	// complete is set once a full read of the directory has been applied.
-	complete bool
+	// complete is set once a full read of the directory has been applied. At tokensKnownAt all live
+	// upstreams have registered since.
+	complete      bool
+	tokensKnownAt time.Duration
 	// storeAnsweredAt is when the store last answered this host or a host that sends it updates.
 	// storeReached is set once it has answered this host, storeDown while it does not.
 	// storeAnsweredTo is the other host; invalid if it was this one.
@@ -78,11 +80,6 @@
 	fullReadAt   time.Duration
 	nextResyncAt time.Duration
 	confirmation confirmation
-	// unreadableKeys holds the keys of registrations that can't be read and belong to no known
-	// upstream. Until unreadableUntil, one of them may hide that of a live upstream, which writes it
-	// again.
-	unreadableKeys  map[string]bool
-	unreadableUntil time.Duration
 	// unknownTokens maps each token without a known upstream to when it was first seen.
 	unknownTokens map[Token]time.Duration
 
@@ -101,19 +98,18 @@
 // between upstreams differently, even if they start at the same time.
 func New(zoneName string, format Format, seed uint64) *Core {
 	return &Core{
-		zone:           zoneName,
-		rotation:       seed,
-		format:         format,
-		cache:          newFlowCache(),
-		byKey:          make(map[string]*upstream),
-		tokens:         make(map[Token]*upstream),
-		services:       make(map[string]*service),
-		zones:          make(map[string]*zone),
-		routes:         make(map[netip.AddrPort]*route),
-		waiters:        newWaiters(),
-		unrouted:       newUnrouted(),
-		unknownTokens:  make(map[Token]time.Duration),
-		unreadableKeys: make(map[string]bool),
+		zone:          zoneName,
+		rotation:      seed,
+		format:        format,
+		cache:         newFlowCache(),
+		byKey:         make(map[string]*upstream),
+		tokens:        make(map[Token]*upstream),
+		services:      make(map[string]*service),
+		zones:         make(map[string]*zone),
+		routes:        make(map[netip.AddrPort]*route),
+		waiters:       newWaiters(),
+		unrouted:      newUnrouted(),
+		unknownTokens: make(map[Token]time.Duration),
 	}
 }
 
@@ -383,9 +379,8 @@
 }
 
 // handleUnknownToken drops a packet with an unknown token and requests a full read of the
-// directory. Once a full read that was requested after the token was first seen, and after
-// registrations counted as complete, does not have the token either, the flow is reset, unless the
-// registration may be one of those that can't be read.
+// directory. Once a full read that was requested after the token was first seen, and after all live
+// upstreams have registered, does not have the token either, the flow is reset.
 func (c *Core) handleUnknownToken(now time.Duration, p *Packet) Effect {
 	first, seen := c.unknownTokens[p.Token]
 	if !seen {
@@ -395,13 +390,14 @@
 		c.unknownTokens[p.Token] = now
 		first = now
 	}
-	missing := max(first, c.storeSettledAt) < c.fullReadAt
-	if missing && !c.storeDown && c.complete && now >= c.unreadableUntil {
+	judgedFrom := max(first, c.storeSettledAt, c.tokensKnownAt)
+	missing := judgedFrom < c.fullReadAt
+	if missing && !c.storeDown && c.complete {
 		c.emitReset(now, p, nil, ReasonUnknownToken, toldBy(netip.AddrPort{}, "token is missing in a full read of the directory", c.directoryPosition, c.fullReadAt), 0)
 		return Effect{Action: Reset, Reason: ReasonUnknownToken}
 	}
 	e := Effect{Action: Drop, Reason: ReasonUnknownToken}
-	if !missing && now >= c.nextResyncAt {
+	if due := c.fullReadAt <= first || now >= judgedFrom && !missing; due && now >= c.nextResyncAt {
 		c.nextResyncAt = now + resyncInterval
 		e.Resync = true
 		c.emit(Record{Event: "token is unknown, reading the directory", Caller: p.Caller, Address: p.Service, Token: p.Token, Age: now - c.storeAnsweredAt})
--- a/internal/dsr/unknowntoken_test.go
+++ b/internal/dsr/unknowntoken_test.go
@@ -76,3 +76,14 @@
 	f.advance(time.Second)
 	require.Equal(t, Reset, c.retransmit().Action)
 }
+
+// A host that did not know the upstream, since its registration was missing as the host started, does
+// not reset flows of it because its registration is missing for longer than settleTime.
+func TestUnknownTokenOfUpstreamThatLapsedForLongIsNotReset(t *testing.T) {
+	f, _, c := startedWithout(t)
+	f.advance(settleTime)
+	f.core.StoreAnswered(f.now)
+	f.core.Apply(f.now, &directory.Change{Full: true, RequestedAt: f.now - 5*time.Millisecond, Revision: 5})
+	e := c.retransmit()
+	require.NotEqual(t, Reset, e.Action, "%v at %v", e.Reason, f.now)
+}
