dsr: names of the evidence; no rerouting is logged if the upstream stays

A repeated SYN that is placed anew may get the same upstream, which was logged as a rerouting from it to itself.

--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -43,7 +43,7 @@
 		case r.Malformed:
 			u.setUnreadable(nil)
 		default:
-			c.removeRegistration(now, u, toldBy(ch.Host, factRemoved, r.Position(), now))
+			c.removeRegistration(now, u, directoryEvidence(ch.Host, factRemoved, r.Position(), now))
 		}
 	}
 	if ch.Configuration != nil {
@@ -70,7 +70,7 @@
 	}
 	for key, u := range c.byKey {
 		if !present[key] && u.Position().Compare(ch.Position()) <= 0 {
-			c.removeRegistration(now, u, toldBy(ch.Host, factRemoved, ch.Position(), now))
+			c.removeRegistration(now, u, directoryEvidence(ch.Host, factRemoved, ch.Position(), now))
 		}
 	}
 }
@@ -159,7 +159,7 @@
 		return
 	}
 	if u != nil {
-		c.markGone(now, u, "restarted", toldBy(host, "another incarnation, address or service is registered", d.Position(), now))
+		c.markGone(now, u, "restarted", directoryEvidence(host, "another incarnation, address or service is registered", d.Position(), now))
 	}
 	// An incarnation that has left after draining doesn't come back: the entry is from the copy of
 	// a restored store.
--- a/internal/dsr/confirm.go
+++ b/internal/dsr/confirm.go
@@ -56,10 +56,10 @@
 // has answered another host newsDelay later.
 func (c *Core) confirms(now, at time.Duration, fact string) (Evidence, bool) {
 	if c.confirmation.at >= at && c.confirmation.at != 0 {
-		return toldBy(netip.AddrPort{}, fact, c.directoryPosition, c.confirmation.at), true
+		return directoryEvidence(netip.AddrPort{}, fact, c.directoryPosition, c.confirmation.at), true
 	}
 	if (c.storeDown || c.confirmation.failed) && c.storeAnsweredAt >= at+newsDelay {
-		return toldBy(c.storeAnsweredTo, fact, c.directoryPosition, c.storeAnsweredAt), true
+		return directoryEvidence(c.storeAnsweredTo, fact, c.directoryPosition, c.storeAnsweredAt), true
 	}
 	if !c.storeDown && now >= c.confirmation.nextAt {
 		c.confirmation.wanted, c.confirmation.nextAt = true, now+confirmInterval
@@ -74,7 +74,7 @@
 	const fact = "registration is missing at the end of its grace period"
 	waits := u.flows > 0 || u.opening > 0 || u.service.waiting > 0
 	if !waits && c.storeAnsweredAt >= u.removeAt+newsDelay {
-		return toldBy(c.storeAnsweredTo, fact, c.directoryPosition, c.storeAnsweredAt), true
+		return directoryEvidence(c.storeAnsweredTo, fact, c.directoryPosition, c.storeAnsweredAt), true
 	}
 	if waits || c.confirmation.at >= u.removeAt {
 		return c.confirms(now, u.removeAt, fact)
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -230,8 +230,8 @@
 		return c.handleNotPlaced(now, p, r, f, choice)
 	}
 	if reused {
-		if f.isOpen() && f.upstream != choice.upstream {
-			c.emitRerouted(now, p, f.upstream, choice.upstream, "port used again", seenInFlows("another SYN came from the port", f.seenAt))
+		if f.isOpen() {
+			c.emitRerouted(now, p, f.upstream, choice.upstream, "port used again", flowEvidence("another SYN came from the port", f.seenAt))
 		}
 		c.cache.remove(f)
 		f = nil
@@ -393,7 +393,7 @@
 	judgedFrom := max(first, c.storeSettledAt, c.tokensKnownAt)
 	missing := judgedFrom < c.fullReadAt
 	if missing && !c.storeDown && c.complete {
-		c.emitReset(now, p, nil, ReasonUnknownToken, toldBy(netip.AddrPort{}, "token is missing in a full read of the directory", c.directoryPosition, c.fullReadAt), 0)
+		c.emitReset(now, p, nil, ReasonUnknownToken, directoryEvidence(netip.AddrPort{}, "token is missing in a full read of the directory", c.directoryPosition, c.fullReadAt), 0)
 		return Effect{Action: Reset, Reason: ReasonUnknownToken}
 	}
 	e := Effect{Action: Drop, Reason: ReasonUnknownToken}
--- a/internal/dsr/evidence.go
+++ b/internal/dsr/evidence.go
@@ -39,17 +39,18 @@
 	At time.Duration
 }
 
-// toldBy returns evidence that comes from another host, or from the store if the address is invalid.
-func toldBy(host netip.AddrPort, fact string, position store.Position, at time.Duration) Evidence {
+// directoryEvidence returns evidence of the directory, from another host or, if its address is invalid,
+// from the store.
+func directoryEvidence(host netip.AddrPort, fact string, position store.Position, at time.Duration) Evidence {
 	if host.IsValid() {
 		return Evidence{Fact: fact, Source: SourceHost, Host: host, Position: position, At: at}
 	}
 	return Evidence{Fact: fact, Source: SourceStore, Position: position, At: at}
 }
 
-// seenInFlows returns evidence from the packets of callers. It is as old as the last packet of the
-// flow, or the last answer of the upstream, that it follows from.
-func seenInFlows(fact string, at time.Duration) Evidence {
+// flowEvidence returns evidence from the packets of callers, as old as the packet or answer that it
+// follows from.
+func flowEvidence(fact string, at time.Duration) Evidence {
 	return Evidence{Fact: fact, Source: SourceFlows, At: at}
 }
 
@@ -76,6 +77,9 @@
 
 // emitRerouted records that the packets of a flow go to another upstream from now on.
 func (c *Core) emitRerouted(now time.Duration, p *Packet, from, to *upstream, reason string, e Evidence) {
+	if from == to {
+		return
+	}
 	rec := Record{
 		Event: "flow rerouted", Caller: p.Caller, Address: p.Service, Upstream: to.Key, Service: to.Service, To: to.Addr, Token: to.token,
 		FromUpstream: from.Key, Detail: reason, Version: c.version,
@@ -91,18 +95,18 @@
 	case u.gone:
 		return u.goneBy
 	case u.suspect(now):
-		return seenInFlows("handshake timed out, and the upstream is suspect", f.openedAt)
+		return flowEvidence("handshake timed out, and the upstream is suspect", f.openedAt)
 	default:
-		return seenInFlows("handshake timed out, and the upstream takes no new flows", f.openedAt)
+		return flowEvidence("handshake timed out, and the upstream takes no new flows", f.openedAt)
 	}
 }
 
 // tokenEvidence returns why a packet of the flow that has the token of another upstream goes there.
 func (f *flow) tokenEvidence() Evidence {
 	if f.phase == phaseOpening || f.phase == phaseOverdue {
-		return seenInFlows("caller completed the handshake with another upstream", f.openedAt)
+		return flowEvidence("caller completed the handshake with another upstream", f.openedAt)
 	}
-	return seenInFlows("caller sent the token of another upstream on an open flow", f.seenAt)
+	return flowEvidence("caller sent the token of another upstream on an open flow", f.seenAt)
 }
 
 // isOpen reports whether the handshake is known to be completed, and the flow not to have ended.
--- a/internal/dsr/lapse_test.go
+++ b/internal/dsr/lapse_test.go
@@ -9,8 +9,8 @@
 	"mimosashore.example/mimosashore/internal/directory"
 )
 
-// losesRegistration holds the ways in which an upstream that serves is missing in the directory.
-var losesRegistration = map[string]func(*fixture, *upstream){
+// registrationLosses holds the ways in which an upstream that serves is missing in the directory.
+var registrationLosses = map[string]func(*fixture, *upstream){
 	"lapsed": func(f *fixture, u *upstream) {
 		f.unregister(u.Key)
 		f.advance(lapseGrace)
@@ -39,7 +39,7 @@
 // Guards against a reset of an open flow because the registration of its upstream is missing, while
 // the upstream serves: at a host that has seen the flow, also long before, and at one that has not.
 func TestOpenFlowSurvivesLapseWhileUpstreamServes(t *testing.T) {
-	for name, lose := range losesRegistration {
+	for name, lose := range registrationLosses {
 		for _, moves := range []bool{false, true} {
 			t.Run(name, func(t *testing.T) {
 				f := newFixture(t)
@@ -67,7 +67,7 @@
 // A caller does not wait for its deadline if the upstream has left: its second retransmission is
 // answered by a reset, but not the first one.
 func TestUnansweredFlowOfUpstreamWithoutRegistrationIsReset(t *testing.T) {
-	for name, lose := range losesRegistration {
+	for name, lose := range registrationLosses {
 		for _, moves := range []bool{false, true} {
 			t.Run(name, func(t *testing.T) {
 				f := newFixture(t)
@@ -95,7 +95,7 @@
 	f := newFixture(t)
 	c := f.openFlow(orderPort)
 	other := f.openFlowOnSameUpstream(c, orderPort)
-	losesRegistration["lapsed while draining"](f, f.upstream(c))
+	registrationLosses["lapsed while draining"](f, f.upstream(c))
 	f.advance(2 * time.Second)
 	c.request()
 	f.advance(300 * time.Millisecond)
@@ -113,7 +113,7 @@
 func TestNewDataToServingUpstreamWithoutRegistrationIsForwarded(t *testing.T) {
 	f := newFixture(t)
 	c := f.openFlow(orderPort)
-	losesRegistration["lapsed while draining"](f, f.upstream(c))
+	registrationLosses["lapsed while draining"](f, f.upstream(c))
 	for part := range 4 {
 		e := c.request()
 		require.Equal(t, Forward, e.Action, "part %d: %v", part, e.Reason)
@@ -125,7 +125,7 @@
 func TestDataBeyondWindowToUpstreamWithoutRegistrationIsForwarded(t *testing.T) {
 	f := newFixture(t)
 	c := f.openFlow(orderPort)
-	losesRegistration["lapsed while draining"](f, f.upstream(c))
+	registrationLosses["lapsed while draining"](f, f.upstream(c))
 	send := func() Effect {
 		e := c.send(flagACK, 0, 1200)
 		c.seq += 1200
@@ -144,7 +144,7 @@
 func TestRepeatedAckToServingUpstreamWithoutRegistrationIsForwarded(t *testing.T) {
 	f := newFixture(t)
 	c := f.openFlow(orderPort)
-	losesRegistration["lapsed while draining"](f, f.upstream(c))
+	registrationLosses["lapsed while draining"](f, f.upstream(c))
 	c.request()
 	f.advance(700 * time.Millisecond)
 	e := c.send(flagACK, 0, 0)
@@ -165,7 +165,7 @@
 	other.request()
 	f.advance(10 * time.Millisecond)
 	other.ackAnswer()
-	losesRegistration["lapsed while draining"](f, u)
+	registrationLosses["lapsed while draining"](f, u)
 	f.advance(180 * time.Millisecond)
 	require.Equal(t, u.Addr, c.retransmitSYN(1).To)
 }
--- a/internal/dsr/restarted_test.go
+++ b/internal/dsr/restarted_test.go
@@ -66,7 +66,7 @@
 // A flow that was opened at the running incarnation by the registration of the one before is kept
 // also while the running one has no registration.
 func TestFlowOpenedByEarlierRegistrationSurvivesLapseOfRunningIncarnation(t *testing.T) {
-	for name, lose := range losesRegistration {
+	for name, lose := range registrationLosses {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
 			c := f.openFlow(orderPort)
--- a/internal/dsr/unrouted.go
+++ b/internal/dsr/unrouted.go
@@ -43,9 +43,9 @@
 // address without a route, and returns the evidence.
 func (c *Core) refusesAtOnce(now time.Duration) (Evidence, bool) {
 	if c.storeDown {
-		return toldBy(c.storeAnsweredTo, factNoRoute, c.directoryPosition, c.storeAnsweredAt), now-c.storeAnsweredAt <= refuseMaxAgeStoreDown
+		return directoryEvidence(c.storeAnsweredTo, factNoRoute, c.directoryPosition, c.storeAnsweredAt), now-c.storeAnsweredAt <= refuseMaxAgeStoreDown
 	}
-	return toldBy(netip.AddrPort{}, factNoRoute, c.directoryPosition, c.confirmation.at), c.confirmation.at != 0 && now-c.confirmation.at <= refuseMaxAge
+	return directoryEvidence(netip.AddrPort{}, factNoRoute, c.directoryPosition, c.confirmation.at), c.confirmation.at != 0 && now-c.confirmation.at <= refuseMaxAge
 }
 
 // resetUnrouted decides on the flows without a route that have waited for the confirmation of the
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -169,7 +169,7 @@
 
 // silence returns the evidence that an upstream is silent.
 func (u *upstream) silence() Evidence {
-	return seenInFlows("upstream left two callers without an answer", u.reachedAt)
+	return flowEvidence("upstream left two callers without an answer", u.reachedAt)
 }
 
 // suspect reports whether the upstream may not answer and is to be avoided.
