stand-ins: upstreams accept connections at their address

PROTOCOL.md gives each upstream a health check over TCP at the address of its registration.

They now answer GET /health with 200, with 503 while leaving, and accept connections without a request. After their end, connections are refused. In the soak the proxy of each upstream carries connections too: refused after a crash, without an answer to the SYN while the link is cut, lost in intervals on a lossy link, and with late bytes on a slow one. Datagram sockets can't drop a SYN without privileges; a listener with a backlog of 0 and one connection in it does.

--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -50,11 +50,11 @@
 // tcpLink is a loopback TCP proxy to one server that injects faults.
 type tcpLink struct {
 	listener net.Listener
-	target   string
 
-	mu    sync.Mutex
-	mode  linkMode
-	conns map[*linkConn]struct{}
+	mu     sync.Mutex
+	target string
+	mode   linkMode
+	conns  map[*linkConn]struct{}
 }
 
 // linkConn is a proxied connection. silent is guarded by the link's mutex.
@@ -68,9 +68,14 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "link can't listen")
 	}
+	return newTCPLinkOn(l, target), nil
+}
+
+// newTCPLinkOn starts a proxy for the connections of a listener, which it closes at its end.
+func newTCPLinkOn(l net.Listener, target string) *tcpLink {
 	t := &tcpLink{listener: l, target: target, mode: linkOpen, conns: make(map[*linkConn]struct{})}
 	go t.accept()
-	return t, nil
+	return t
 }
 
 func (t *tcpLink) addr() string { return t.listener.Addr().String() }
@@ -80,6 +85,13 @@
 	t.setMode(linkRefuse)
 }
 
+// setTarget changes the server for new connections.
+func (t *tcpLink) setTarget(target string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.target = target
+}
+
 // setMode changes the mode and applies it to the open connections.
 func (t *tcpLink) setMode(mode linkMode) {
 	t.mu.Lock()
@@ -113,7 +125,10 @@
 	for t.currentMode() == linkCut {
 		time.Sleep(heldPollInterval)
 	}
-	server, err := net.DialTimeout("tcp4", t.target, dialTimeout)
+	t.mu.Lock()
+	target := t.target
+	t.mu.Unlock()
+	server, err := net.DialTimeout("tcp4", target, dialTimeout)
 	if err != nil {
 		(&linkConn{client: client}).reset()
 		return
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -94,7 +94,7 @@
 type slot struct {
 	name  string
 	zone  string
-	link  *udpLink
+	link  *upstreamProxy
 	index int
 	// instance is the upstream that runs at the slot, or nil; reserved is set
 	// while a fault uses the slot.
@@ -109,7 +109,7 @@
 // addSlot adds a slot and starts an upstream of the service there.
 func (o *operator) addSlot(service string) error {
 	n := len(o.slots)
-	link, err := newUDPLink(o.network.addr(linksOctet, byte(n+1), hostDataPort))
+	link, err := newUpstreamProxy(o.network.addr(linksOctet, byte(n+1), hostDataPort))
 	if err != nil {
 		return err
 	}
@@ -127,7 +127,10 @@
 		return err
 	}
 	u.SetServiceTime(requestTime)
-	s.link.setTarget(netip.MustParseAddrPort(u.Registration.Addr))
+	if err := s.link.setTarget(netip.MustParseAddrPort(u.Registration.Addr)); err != nil {
+		u.Close()
+		return err
+	}
 	u.Registration.Addr, u.Registration.Born = s.link.addr(), born.UnixMilli()
 	s.instance = &upstreamInstance{Upstream: u, slot: s.name, service: service}
 	o.record.mu.Lock()
@@ -246,7 +249,9 @@
 	o.markWithdrawn(old)
 	o.mu.Unlock()
 	sleep(ctx, drainWithin+drainMargin)
-	o.stopUpstream(s, old)
+	if err := o.stopUpstream(s, old); err != nil {
+		return err
+	}
 	o.store.Remove(old.Key())
 	return o.replace(s, old.service)
 }
@@ -258,15 +263,16 @@
 }
 
 // stopUpstream stops the upstream abruptly and leaves its entry in the store.
-func (o *operator) stopUpstream(s *slot, u *upstreamInstance) {
+func (o *operator) stopUpstream(s *slot, u *upstreamInstance) error {
 	o.mu.Lock()
 	s.instance = nil
-	s.link.setTarget(netip.AddrPort{})
+	err := s.link.setTarget(netip.AddrPort{})
 	o.mu.Unlock()
 	u.Close()
 	o.record.mu.Lock()
 	defer o.record.mu.Unlock()
 	u.ended = time.Now()
+	return err
 }
 
 func (o *operator) replace(s *slot, service string) error {
@@ -281,7 +287,9 @@
 // after lapseAfter.
 func (o *operator) crash(ctx context.Context, s *slot, duration time.Duration, service string) error {
 	old := s.instance
-	o.stopUpstream(s, old)
+	if err := o.stopUpstream(s, old); err != nil {
+		return err
+	}
 	sleep(ctx, max(duration, reuseAfter))
 	if err := o.replace(s, service); err != nil {
 		return err
@@ -296,7 +304,9 @@
 // lapseAfter, with the same identity. If clockBack is set, its clock is set back.
 func (o *operator) restart(ctx context.Context, s *slot, duration time.Duration, clockBack bool) error {
 	old := s.instance
-	o.stopUpstream(s, old)
+	if err := o.stopUpstream(s, old); err != nil {
+		return err
+	}
 	sleep(ctx, min(duration, lapseAfter))
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/soak/platformfaults.go
+++ b/internal/soak/platformfaults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -263,10 +264,9 @@
 			return e.operator.restart(ctx, s, lateRestartTime, false)
 		})
 	case upstreamLink:
-		s.link.setMode(f.mode)
+		err := s.link.setMode(f.mode)
 		sleep(ctx, f.duration)
-		s.link.setMode(linkOpen)
-		return nil
+		return errors.Join(err, s.link.setMode(linkOpen))
 	}
 	return eris.Errorf("unknown fault %q", f.kind)
 }
--- a/internal/standin/dsrworld/upstream.go
+++ b/internal/standin/dsrworld/upstream.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"net"
+	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
@@ -15,6 +16,15 @@
 // forwards, in bytes.
 const targetHeaderSize = 8
 
+const (
+	// healthPath is the path of the health check that upstreams serve over TCP.
+	healthPath = "/health"
+	// healthTimeout is the time after which a connection without a request is closed.
+	healthTimeout = 5 * time.Second
+	// maxListenAttempts is the number of ports that are tried for one that is free for both TCP and UDP.
+	maxListenAttempts = 50
+)
+
 // Registration is an upstream's registration in the store.
 type Registration struct {
 	Service string `json:"service"`
@@ -38,7 +48,11 @@
 	ID           uint64
 	Registration Registration
 
-	conn  *net.UDPConn
+	conn *net.UDPConn
+	// listener accepts connections at the address of conn; health serves them.
+	listener *net.TCPListener
+	health   *http.Server
+
 	mu    sync.Mutex
 	flows map[netip.AddrPort]*upstreamFlow
 	// runCounts holds the number of runs of each request.
@@ -89,29 +103,58 @@
 	Caller netip.AddrPort
 }
 
-// NewUpstream starts an upstream at the given address. The registration isn't
-// written to the store.
+// NewUpstream starts an upstream that receives datagrams and accepts connections at the
+// given address; port 0 stands for any free port. The registration isn't written to the store.
 func NewUpstream(id uint64, service, zone string, addr netip.AddrPort) (*Upstream, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	conn, listener, err := listen(addr)
 	if err != nil {
 		return nil, err
 	}
 	u := &Upstream{
-		Name: fmt.Sprintf("i-%08x", id), ID: id, conn: conn, flows: make(map[netip.AddrPort]*upstreamFlow), runCounts: make(map[string]int), arrivals: make(map[netip.AddrPort][]time.Time),
+		Name: fmt.Sprintf("i-%08x", id), ID: id, conn: conn, listener: listener, flows: make(map[netip.AddrPort]*upstreamFlow), runCounts: make(map[string]int), arrivals: make(map[netip.AddrPort][]time.Time),
 		Registration: Registration{
 			Service: service, Addr: conn.LocalAddr().String(), Zone: zone, Version: "v1", Slots: 2, State: "ready",
 			Seq: 1, Born: time.Now().UnixMilli(),
 		},
 	}
+	checks := http.NewServeMux()
+	checks.HandleFunc("GET "+healthPath, u.serveHealth)
+	u.health = &http.Server{Handler: checks, ReadHeaderTimeout: healthTimeout}
 	go u.run()
+	go func() {
+		// It ends with the listener, which Close closes.
+		_ = u.health.Serve(listener)
+	}()
 	return u, nil
 }
 
+// listen opens the sockets for datagrams and connections at one address.
+func listen(addr netip.AddrPort) (*net.UDPConn, *net.TCPListener, error) {
+	for attempt := 1; ; attempt++ {
+		listener, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(addr))
+		if err != nil {
+			return nil, nil, err
+		}
+		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(listener.Addr().(*net.TCPAddr).AddrPort()))
+		if err == nil {
+			return conn, listener, nil
+		}
+		listener.Close()
+		if addr.Port() != 0 || attempt == maxListenAttempts {
+			return nil, nil, err
+		}
+	}
+}
+
 // Key returns the key of the registration in the store.
 func (u *Upstream) Key() string { return "servers/" + u.Name }
 
-// Close stops the upstream.
-func (u *Upstream) Close() { u.conn.Close() }
+// Close stops the upstream. Open connections are closed, new ones are refused.
+func (u *Upstream) Close() {
+	u.conn.Close()
+	u.listener.Close()
+	u.health.Close()
+}
 
 // Opened returns the number of flows opened at the upstream.
 func (u *Upstream) Opened() int {
@@ -184,6 +227,15 @@
 	u.draining = true
 }
 
+// serveHealth answers a health check: the upstream is healthy unless it is leaving.
+func (u *Upstream) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.draining {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // RunCount returns the number of runs of a request.
 func (u *Upstream) RunCount(request string) int {
 	u.mu.Lock()
