dsr: an upstream is silent only by connections that the host opens itself

Cause: a host sees no answers, only what callers acknowledge. The verdict was drawn from that, and lossy links of callers, an upstream's queue and its habit of acknowledging explain it as well. A second caller made it rarer; a third would again.

A retransmission is now the reason to look, not the verdict. The host opens a TCP connection to the upstream's address; nothing is sent on it, so it takes no slot and is accepted whatever the queue. If it is not answered, seven more follow, each with one to up to four upstreams in the same zone and one elsewhere. A flow is reset if a connection is refused while controls accept, or if all stay unanswered while controls answer all; what is partly answered says that the way is lossy, and nothing is reset. The check takes 360 ms, so that it ends 560 ms after the request. A silent upstream is checked again every 0.2 to 1 s until it accepts a connection, in place of a fixed time.

Tests that had silent upstreams now have a network that answers checks; the same flows are reset and kept, by the same times. TestRetransmitsOnDegradedLinkDoNotCount and TestNoResetWhileHostIsCutOff have no controls that answer while the link is degraded. Evidence of the directory is checked on the record "upstream gone", which has it now.

TestUpstreamThatAnswersOldPacketsIsNotSilent and TestLossOnLinksOfManyCallersResetsNoFlow failed before and pass; the latter has a loss of 80 % and lossy checks as well.

--- /dev/null
+++ b/internal/dsr/check_test.go
@@ -0,0 +1,286 @@
+package dsr
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// checkNetwork answers the connections of checks. Those that it does not mention are accepted.
+type checkNetwork struct {
+	// silent addresses don't answer, refusing ones have no listener. Those of upstreams that answer no
+	// handshakes, but run, are accepting.
+	silent, refusing, accepting map[netip.AddrPort]bool
+	// cutOff is set while the host reaches no upstream.
+	cutOff bool
+	// loss returns the share of connections to an address that are lost; nil is none.
+	loss   func(netip.AddrPort) float64
+	random *rand.Rand
+	// connections counts the attempts.
+	connections int
+}
+
+// dueEvent is the begin or the result of a check.
+type dueEvent struct {
+	at  time.Duration
+	run func()
+}
+
+const checkTransit = 3 * time.Millisecond
+
+// connect adds the result of one connection.
+func (n *checkNetwork) connect(a *Attempts, addr netip.AddrPort) {
+	n.connections++
+	switch {
+	case n.cutOff || n.silent[addr] && !n.accepting[addr] || n.loss != nil && n.random.Float64() < n.loss(addr):
+		a.Unanswered++
+	case n.refusing[addr]:
+		a.Refused++
+	default:
+		a.Accepted++
+	}
+}
+
+// startChecks schedules the checks that the core asks for.
+func (f *fixture) startChecks() {
+	for _, ch := range f.core.TakeChecks() {
+		f.events = append(f.events, dueEvent{f.now + ch.Delay, func() { f.carryOut(ch) }})
+	}
+}
+
+// carryOut carries out a check as the host does.
+func (f *fixture) carryOut(ch Check) {
+	at := f.now + ch.Time
+	r := CheckResult{ID: ch.ID, StartedAt: f.now, Controls: make([]Attempts, len(ch.Controls))}
+	for i := range ch.Attempts {
+		f.network.connect(&r.Target, ch.Target)
+		if i > 0 || r.Target.Refused > 0 {
+			for j, control := range ch.Controls {
+				f.network.connect(&r.Controls[j], control)
+			}
+		}
+		if r.Target.answered() > 0 {
+			at = f.now + time.Duration(i)*ch.Interval + checkTransit
+			break
+		}
+	}
+	f.events = append(f.events, dueEvent{at, func() { f.core.CheckDone(f.now, r) }})
+}
+
+// takeDue returns the first event until the given time, or nil.
+func (f *fixture) takeDue(until time.Duration) *dueEvent {
+	first := -1
+	for i, e := range f.events {
+		if e.at <= until && (first < 0 || e.at < f.events[first].at) {
+			first = i
+		}
+	}
+	if first < 0 {
+		return nil
+	}
+	e := f.events[first]
+	f.events = slices.Delete(f.events, first, first+1)
+	return &e
+}
+
+// stopUpstream ends the process of an upstream: its address refuses connections.
+func (f *fixture) stopUpstream(u *upstream) {
+	f.network.refusing = map[netip.AddrPort]bool{u.Addr: true}
+}
+
+// requireReset requires a flow without an answer to be reset by a check that its next retransmission
+// causes, after a time.
+func (c *caller) requireReset(after time.Duration) {
+	c.f.t.Helper()
+	require.Equal(c.f.t, Forward, c.retransmit().Action)
+	c.f.advance(after)
+	require.Equal(c.f.t, Reset, c.retransmit().Action)
+}
+
+// Each result of connections, and what it says of the upstream.
+func TestCheckOutcome(t *testing.T) {
+	accepted, refused := Attempts{Accepted: checkAttempts - 1}, Attempts{Refused: checkAttempts - 1}
+	none, partial := Attempts{Unanswered: checkAttempts - 1}, Attempts{Accepted: 3, Unanswered: 4}
+	target := Attempts{Unanswered: checkAttempts}
+	for _, tc := range []struct {
+		name              string
+		target            Attempts
+		inZone, elsewhere []Attempts
+		want              CheckOutcome
+	}{
+		{"accepted at last", Attempts{Unanswered: 7, Accepted: 1}, []Attempts{none}, []Attempts{accepted}, CheckAccepted},
+		{"refused", Attempts{Refused: 1}, []Attempts{{Accepted: 1}}, nil, CheckRefused},
+		{"refused, after loss", Attempts{Unanswered: 2, Refused: 1}, []Attempts{partial}, nil, CheckRefused},
+		{"refused, no control in the zone", Attempts{Refused: 1}, nil, []Attempts{accepted}, CheckZoneUnreachable},
+		{"refused behind a cut that refuses", Attempts{Refused: 1}, []Attempts{{Refused: 1}, {Refused: 1}}, []Attempts{{Accepted: 1}}, CheckZoneUnreachable},
+		{"refused, as by all", Attempts{Refused: 1}, []Attempts{{Refused: 1}}, []Attempts{{Refused: 1}}, CheckInconclusive},
+		{"refused, no control", Attempts{Refused: 1}, nil, nil, CheckInconclusive},
+		{"unanswered", target, []Attempts{accepted, accepted}, []Attempts{accepted}, CheckUnanswered},
+		{"unanswered, as by a control that is dead too", target, []Attempts{accepted, none}, nil, CheckUnanswered},
+		{"unanswered beside ended ones", target, []Attempts{refused}, []Attempts{accepted}, CheckUnanswered},
+		{"unanswered, lossy way to the zone", target, []Attempts{accepted, partial}, []Attempts{accepted}, CheckInconclusive},
+		{"zone unanswered", target, []Attempts{none, none, none}, []Attempts{accepted}, CheckZoneUnreachable},
+		{"zone unanswered, too few controls", target, []Attempts{none, none}, []Attempts{accepted}, CheckInconclusive},
+		{"zone unanswered, lossy way to another zone", target, []Attempts{none, none, none}, []Attempts{partial}, CheckInconclusive},
+		{"own link", target, []Attempts{none, none, none}, []Attempts{none}, CheckInconclusive},
+		{"no control in the zone", target, nil, []Attempts{accepted}, CheckInconclusive},
+		{"no control elsewhere", target, []Attempts{none}, nil, CheckInconclusive},
+		{"attempts that failed on this host", Attempts{Unanswered: 7, Failed: 1}, []Attempts{accepted}, nil, CheckInconclusive},
+		{"control that failed on this host", target, []Attempts{{Accepted: 6, Failed: 1}}, nil, CheckInconclusive},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			k := &check{inZone: make([]*upstream, len(tc.inZone)), elsewhere: make([]*upstream, len(tc.elsewhere))}
+			r := &CheckResult{Target: tc.target, Controls: append(slices.Clone(tc.inZone), tc.elsewhere...)}
+			require.Equal(t, tc.want, k.outcome(r))
+		})
+	}
+}
+
+// A check has controls in the upstream's zone, and one elsewhere, that answered last.
+func TestControlsAnsweredLast(t *testing.T) {
+	f := newFixture(t)
+	u := f.core.byKey["u3"]
+	for i, key := range []string{"u4", "u1", "u2", "u5"} {
+		f.core.byKey[key].lastAnswerAt = f.now + time.Duration(i)
+	}
+	inZone, elsewhere := f.core.controls(u)
+	require.Equal(t, []*upstream{f.core.byKey["u4"]}, inZone)
+	require.Equal(t, []*upstream{f.core.byKey["u2"]}, elsewhere, "the host's own zone is preferred")
+
+	for n := 7; n < 12; n++ {
+		f.register(testUpstream(n, "orders", "b"))
+	}
+	f.core.byKey["u8"].lastAnswerAt = f.now + 10
+	inZone, _ = f.core.controls(u)
+	require.Len(t, inZone, zoneControls)
+	require.Equal(t, []*upstream{f.core.byKey["u8"], f.core.byKey["u4"]}, inZone[:2])
+}
+
+// A retransmission costs one connection if the upstream lives, and the next ones none for a while.
+func TestCheckOfLivingUpstreamIsOneConnection(t *testing.T) {
+	f := newFixture(t)
+	c := f.openFlow(streamPort)
+	f.advance(time.Second)
+	c.request()
+	f.advance(200 * time.Millisecond)
+	for range 10 {
+		c.retransmit()
+		f.advance(10 * time.Millisecond)
+	}
+	require.Equal(t, 1, f.network.connections)
+}
+
+// Requests that are not idempotent are not reset, so they cause no checks.
+func TestRetransmissionOfOrderCausesNoCheck(t *testing.T) {
+	f := newFixture(t)
+	c := f.openFlow(orderPort)
+	f.advance(time.Second)
+	c.request()
+	f.advance(200 * time.Millisecond)
+	c.retransmit()
+	require.Empty(t, f.core.TakeChecks())
+}
+
+// A process that has ended refuses connections: its flows are reset at once.
+func TestFlowAtUpstreamThatRefusesIsReset(t *testing.T) {
+	f := newFixture(t)
+	c := f.openFlow(streamPort)
+	f.stopUpstream(f.upstream(c))
+	f.advance(time.Second)
+	c.request()
+	f.advance(200 * time.Millisecond)
+	require.Equal(t, Forward, c.retransmit().Action)
+	f.advance(checkTransit)
+	require.Len(t, f.core.TakeResets(), 1)
+	require.Equal(t, Reset, c.retransmit().Action)
+	require.Equal(t, ReasonUpstreamSilent, c.last.Reason)
+}
+
+// If all refuse, the listeners may be elsewhere.
+func TestNoResetWhereAllUpstreamsRefuseConnections(t *testing.T) {
+	f := newFixture(t)
+	c := f.openFlow(streamPort)
+	f.network.refusing = make(map[netip.AddrPort]bool)
+	for _, u := range f.core.byKey {
+		f.network.refusing[u.Addr] = true
+	}
+	c.request()
+	for _, pause := range []time.Duration{200, 400, 800} {
+		f.advance(pause * time.Millisecond)
+		require.Equal(t, Forward, c.retransmit().Action)
+	}
+}
+
+// A zone that is cut off: all its upstreams are silent by one check.
+func TestZoneThatIsCutOffIsSilent(t *testing.T) {
+	f := newFixture(t)
+	f.network.silent = make(map[netip.AddrPort]bool)
+	f.register(testUpstream(7, "feed", "b"), testUpstream(8, "feed", "b"))
+	var c, other *caller
+	for c == nil || other == nil {
+		n := f.openFlow(streamPort)
+		switch u := f.upstream(n); {
+		case u.Key == "u3":
+			c = n
+		case u.Key == "u4":
+			other = n
+		}
+	}
+	for _, key := range []string{"u3", "u4", "u7", "u8"} {
+		f.network.silent[f.core.byKey[key].Addr] = true
+	}
+	f.advance(time.Second)
+	c.request()
+	f.advance(200 * time.Millisecond)
+	c.retransmit()
+	f.advance(checkTime)
+	require.Len(t, f.core.TakeResets(), 1)
+	require.Equal(t, Reset, other.request().Action)
+}
+
+// In a cut from the upstream to this host only, callers have answers.
+func TestUpstreamWhoseAnswersArriveIsNotSilent(t *testing.T) {
+	f := newFixture(t)
+	c := f.openFlow(streamPort)
+	other := f.openFlowOnSameUpstream(c, streamPort)
+	f.network.silent = map[netip.AddrPort]bool{f.upstream(c).Addr: true}
+	f.advance(time.Second)
+	c.request()
+	f.advance(200 * time.Millisecond)
+	c.retransmit()
+	f.advance(50 * time.Millisecond)
+	other.request()
+	f.advance(50 * time.Millisecond)
+	other.ackAnswer()
+	f.advance(300 * time.Millisecond)
+	require.Equal(t, Forward, c.retransmit().Action)
+	require.Empty(t, f.core.TakeResets())
+}
+
+// The address of an upstream that ended may be in use by another one, which accepts connections.
+func TestFlowAtAddressOfAnotherUpstreamIsReset(t *testing.T) {
+	f := newFixture(t)
+	c := f.openFlow(streamPort)
+	u := f.upstream(c)
+	next := testUpstream(9, "orders", "a")
+	next.Addr = u.Addr
+	f.register(next)
+	f.advance(time.Second)
+	c.request()
+	f.advance(200 * time.Millisecond)
+	require.Equal(t, Forward, c.retransmit().Action)
+	f.advance(400 * time.Millisecond)
+	require.Equal(t, Forward, c.retransmit().Action, "an entry of another writer says nothing")
+	v := f.core.byKey[next.Key]
+	for n := f.openFlow(orderPort); f.upstream(n) != v; n = f.openFlow(orderPort) {
+		n.send(flagACK|flagFIN, 0, 0)
+	}
+	f.advance(800 * time.Millisecond)
+	c.retransmit()
+	f.advance(checkTransit)
+	require.Len(t, f.core.TakeResets(), 1)
+}
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -88,6 +88,12 @@
 	// rotation varies where the search for an upstream starts, which breaks ties.
 	rotation uint64
 
+	// checks holds the checks in progress by identifier, rechecks is the number of those of silent upstreams.
+	checks       map[uint64]*check
+	rechecks     int
+	lastCheck    uint64
+	wantedChecks []Check
+
 	records []Record
 	samples []Sample
 	// resets holds flows to reset other than that of the current packet.
@@ -110,6 +116,7 @@
 		waiters:       newWaiters(),
 		unrouted:      newUnrouted(),
 		unknownTokens: make(map[Token]time.Duration),
+		checks:        make(map[uint64]*check),
 	}
 }
 
@@ -351,7 +358,7 @@
 		if !u.hasSameEndpoint(f.upstream) {
 			c.emitRerouted(now, p, f.upstream, u, "token of another upstream", f.tokenEvidence())
 			f.nextSeq, f.lastAck, f.receivedSeq = p.Seq, p.Ack, p.Seq
-			f.progressAt, f.retransmits, f.pending = now, 0, false
+			f.progressAt, f.pending = now, false
 		}
 		c.cache.setPhase(now, f, phaseClosed)
 		f.upstream = u
@@ -359,18 +366,12 @@
 	}
 	f.route = c.routes[p.Service]
 	c.cache.touch(now, f)
-	unanswered, progressAt := f.unansweredFor(now, p), f.progressAt
 	c.observe(now, f, p)
-	if u.gone && unanswered >= silenceTimeout && f.progressAt == progressAt {
-		c.cache.remove(f)
-		c.emitReset(now, p, u, ReasonUpstreamGone, u.goneBy, unanswered)
-		return Effect{Action: Reset, Reason: ReasonUpstreamGone}
-	}
-	if c.checkSilence(now, f) {
+	if f.waitsInVain(now) {
 		unanswered := now - f.progressAt
 		c.cache.remove(f)
-		c.emitReset(now, p, u, ReasonUpstreamSilent, u.silence(), unanswered)
-		return Effect{Action: Reset, Reason: ReasonUpstreamSilent}
+		c.emitReset(now, p, u, u.silenceReason(), u.silentBy, unanswered)
+		return Effect{Action: Reset, Reason: u.silenceReason()}
 	}
 	if u.gone {
 		return c.forwardTo(u, ReasonUnregistered)
--- a/internal/dsr/evidence.go
+++ b/internal/dsr/evidence.go
@@ -18,10 +18,12 @@
 	SourceHost
 	// SourceFlows is the flow cache: packets of callers that came through this host.
 	SourceFlows
+	// SourceCheck is connections that this host opened.
+	SourceCheck
 	sourceCount
 )
 
-var sourceNames = [sourceCount]string{"", "store", "host", "flows"}
+var sourceNames = [sourceCount]string{"", "store", "host", "flows", "check"}
 
 // String returns the source as it appears in logs.
 func (s Source) String() string { return sourceNames[s] }
@@ -33,7 +35,7 @@
 	Source Source
 	// Host is the control address of the host of SourceHost.
 	Host netip.AddrPort
-	// Position is the position of the store that the fact is from; zero for SourceFlows.
+	// Position is the position of the store that the fact is from; zero for SourceFlows and SourceCheck.
 	Position store.Position
 	// At is the time up to which the fact is known to hold, as the time since the start of the host.
 	At time.Duration
--- a/internal/dsr/flows.go
+++ b/internal/dsr/flows.go
@@ -72,12 +72,10 @@
 	answered bool
 	// unqueued is set if the upstream had a free slot when the request in progress was seen.
 	unqueued bool
-	// retransmits counts retransmitted data packets since the last progress and since countedFrom,
-	// which is when the count was last restarted because this host's link was degraded.
-	retransmits int
-	countedFrom time.Duration
 	// pending is set while a request has no answer, also after phaseBusy.
 	pending bool
+	// wasReset is set once the flow was reset without a packet of its own.
+	wasReset bool
 
 	lruLinks, phaseLinks list.Links[flow]
 	// nextFree is the next flow of the free list.
--- a/internal/dsr/lapse_test.go
+++ b/internal/dsr/lapse_test.go
@@ -104,6 +104,7 @@
 	other.ackAnswer()
 	f.advance(250 * time.Millisecond)
 	require.Equal(t, Forward, c.retransmit().Action)
+	f.stopUpstream(f.upstream(c))
 	f.advance(800 * time.Millisecond)
 	require.Equal(t, Reset, c.retransmit().Action, "silent since")
 }
--- a/internal/dsr/linkmonitor.go
+++ b/internal/dsr/linkmonitor.go
@@ -23,9 +23,8 @@
 	// correlationInterval is the time within which handshake timeouts at two upstreams are
 	// attributed to the link of this host.
 	correlationInterval = 300 * time.Millisecond
-	// linkRecovery is how long the link counts as degraded after the last sign of degradation:
-	// the time over which a silent upstream is observed, and the transit time of the last packets.
-	linkRecovery = silenceTimeout + 150*time.Millisecond
+	// linkRecovery is how long the link counts as degraded after the last sign of degradation.
+	linkRecovery = 700 * time.Millisecond
 	// reachableHandshakes is the number of good handshakes within reachableWithin that show that
 	// this host reaches upstreams.
 	reachableHandshakes = 2
--- a/internal/dsr/returned_test.go
+++ b/internal/dsr/returned_test.go
@@ -21,7 +21,9 @@
 	c.request()
 	require.True(t, u.gone)
 	f.advance(time.Second)
-	require.Equal(t, Reset, c.retransmit().Action)
+	f.stopUpstream(u)
+	c.requireReset(checkTransit)
+	f.network.refusing = nil
 	f.register(u.Upstream)
 	require.Equal(t, Forward, c.retransmit().Action)
 	f.advance(goneRetention)
--- a/internal/dsr/state.go
+++ b/internal/dsr/state.go
@@ -133,7 +133,7 @@
 
 func (u *upstream) suspicion(now time.Duration) string {
 	switch {
-	case u.isSilent(now):
+	case u.silentAt != 0:
 		return "silent"
 	case now < u.backoff.until:
 		return "avoided"
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -1,7 +1,6 @@
 package dsr
 
 import (
-	"net/netip"
 	"time"
 
 	"mimosashore.example/mimosashore/internal/directory"
@@ -60,10 +59,14 @@
 	// packet was sent that it is known to have answered.
 	lastAnswerAt, reachedAt time.Duration
 	backoff                 backoff
-	// silentAt is when the upstream was last found silent; zero if it has answered since.
-	silentAt time.Duration
-	// unanswered holds the latest packets without an answer, of two callers.
-	unanswered [2]unanswered
+	// silentAt is when a check last found that the upstream does not answer, silentBy its evidence; zero if
+	// it has answered since. recheckDelay is the time to the next check.
+	silentAt     time.Duration
+	silentBy     Evidence
+	recheckDelay time.Duration
+	// checking is set while a check is wanted or in progress. The next one may begin at nextCheckAt.
+	checking    bool
+	nextCheckAt time.Duration
 	// latency is the mean time from request to answer, in seconds; zero is unknown.
 	latency   float64
 	latencyAt time.Duration
@@ -101,33 +104,6 @@
 	return true
 }
 
-// unanswered is a packet of a caller that the upstream did not answer: it was sent at sentAt, and
-// there was no answer by seenAt.
-type unanswered struct {
-	caller         netip.Addr
-	sentAt, seenAt time.Duration
-}
-
-// addUnanswered records a packet without an answer. Those of the last two callers are kept.
-func (u *upstream) addUnanswered(now, sent time.Duration, caller netip.Addr) {
-	if u.unanswered[0].caller != caller {
-		u.unanswered[1] = u.unanswered[0]
-	}
-	u.unanswered[0] = unanswered{caller, sent, now}
-}
-
-// leavesOthersUnanswered reports whether the upstream left another caller without an answer while it
-// did not answer the given one since sent. Packets of one caller prove nothing, since its own link
-// may lose the answers.
-func (u *upstream) leavesOthersUnanswered(sent time.Duration, caller netip.Addr) bool {
-	for _, p := range u.unanswered {
-		if p.caller.IsValid() && p.caller != caller && p.seenAt >= sent && p.sentAt >= u.reachedAt {
-			return true
-		}
-	}
-	return false
-}
-
 // zone is the state of an availability zone, inferred from its upstreams.
 type zone struct {
 	name    string
@@ -155,11 +131,6 @@
 	return float64(u.busy) < share*float64(u.Slots)
 }
 
-// isSilent reports whether the upstream was found silent within silenceHold.
-func (u *upstream) isSilent(now time.Duration) bool {
-	return u.silentAt != 0 && now-u.silentAt < silenceHold
-}
-
 // hasSameEndpoint reports whether packets to the other incarnation reach this one. It has the flows
 // that were opened by the registration of the other one after it started, and resets those that it
 // does not have.
@@ -167,14 +138,9 @@
 	return u.ID == other.ID && u.Addr == other.Addr && u.Service == other.Service
 }
 
-// silence returns the evidence that an upstream is silent.
-func (u *upstream) silence() Evidence {
-	return flowEvidence("upstream left two callers without an answer", u.reachedAt)
-}
-
 // suspect reports whether the upstream may not answer and is to be avoided.
 func (u *upstream) suspect(now time.Duration) bool {
-	if u.removeAt != 0 && !u.lost || now < u.backoff.until || now < u.zone.backoff.until {
+	if u.silentAt != 0 || u.removeAt != 0 && !u.lost || now < u.backoff.until || now < u.zone.backoff.until {
 		return true
 	}
 	// After the backoff, one flow at a time tries the upstream or zone again.
@@ -213,10 +179,7 @@
 // still arrive.
 func (c *Core) onAnswer(now, sent time.Duration, u *upstream) {
 	u.lastAnswerAt, u.reachedAt = now, max(u.reachedAt, sent)
-	if u.silentAt != 0 {
-		u.silentAt = 0
-		c.emit(Record{Event: "upstream is no longer silent", Upstream: u.Key, Service: u.Service})
-	}
+	c.endSilence(u)
 	z := u.zone
 	z.reachedAt = max(z.reachedAt, sent)
 	z.firstTimedOut = nil
@@ -239,7 +202,6 @@
 	if u.reachedAt > f.openedAt {
 		return
 	}
-	u.addUnanswered(now, f.openedAt, f.key.caller.Addr())
 	if now < u.backoff.until {
 		return
 	}
--- /dev/null
+++ b/internal/dsrhost/check_test.go
@@ -0,0 +1,115 @@
+package dsrhost
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mimosashore.example/mimosashore/internal/dsr"
+)
+
+// checkedListener is a listener on a loopback address that counts connections.
+type checkedListener struct {
+	net.Listener
+	address  netip.AddrPort
+	accepted atomic.Int64
+}
+
+func listenForChecks(t *testing.T) *checkedListener {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	return &checkedListener{Listener: l, address: l.Addr().(*net.TCPAddr).AddrPort()}
+}
+
+func (l *checkedListener) accept() {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		l.accepted.Add(1)
+		conn.Close()
+	}
+}
+
+func acceptingAddress(t *testing.T) *checkedListener {
+	l := listenForChecks(t)
+	go l.accept()
+	return l
+}
+
+func refusingAddress(t *testing.T) netip.AddrPort {
+	l := listenForChecks(t)
+	require.NoError(t, l.Close())
+	return l.address
+}
+
+// silentAddress returns an address whose listener has a full backlog, so that the kernel drops SYNs.
+func silentAddress(t *testing.T) netip.AddrPort {
+	l := listenForChecks(t)
+	raw, err := l.Listener.(*net.TCPListener).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }))
+	require.NoError(t, err)
+	filler, err := net.Dial("tcp4", l.address.String())
+	require.NoError(t, err)
+	t.Cleanup(func() { filler.Close() })
+	return l.address
+}
+
+func testCheck(target netip.AddrPort, controls ...netip.AddrPort) *dsr.Check {
+	return &dsr.Check{ID: 7, Target: target, Controls: controls, Attempts: 4, Interval: 20 * time.Millisecond, Time: 300 * time.Millisecond}
+}
+
+func TestCheckOfAcceptingUpstreamIsOneConnection(t *testing.T) {
+	target, control := acceptingAddress(t), acceptingAddress(t)
+	began := time.Now()
+	k := newChecker(func() time.Duration { return time.Since(began) + time.Hour })
+	r := k.carryOut(t.Context(), testCheck(target.address, control.address))
+	require.Equal(t, uint64(7), r.ID)
+	require.GreaterOrEqual(t, r.StartedAt, time.Hour)
+	require.Equal(t, dsr.Attempts{Accepted: 1}, r.Target)
+	require.Equal(t, []dsr.Attempts{{}}, r.Controls)
+	require.Zero(t, control.accepted.Load())
+}
+
+func TestCheckOfRefusingUpstreamAsksControlsOnce(t *testing.T) {
+	k := newChecker(func() time.Duration { return 0 })
+	r := k.carryOut(t.Context(), testCheck(refusingAddress(t), acceptingAddress(t).address, refusingAddress(t)))
+	require.Equal(t, dsr.Attempts{Refused: 1}, r.Target)
+	require.Equal(t, []dsr.Attempts{{Accepted: 1}, {Refused: 1}}, r.Controls)
+}
+
+func TestCheckOfSilentUpstreamUsesAllAttempts(t *testing.T) {
+	k := newChecker(func() time.Duration { return 0 })
+	began := time.Now()
+	r := k.carryOut(t.Context(), testCheck(silentAddress(t), acceptingAddress(t).address, silentAddress(t)))
+	require.Equal(t, dsr.Attempts{Unanswered: 4}, r.Target)
+	require.Equal(t, []dsr.Attempts{{Accepted: 3}, {Unanswered: 3}}, r.Controls, "controls begin one interval later")
+	require.GreaterOrEqual(t, time.Since(began), 300*time.Millisecond)
+}
+
+// Attempts that the host itself ends say nothing about the upstream.
+func TestAttemptsThatEndWithTheHostCountAsFailed(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.Equal(t, connectFailed, connectOnce(ctx, silentAddress(t)))
+}
+
+func TestCheckEndsWithItsContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	k := newChecker(func() time.Duration { return 0 })
+	ch := testCheck(silentAddress(t))
+	k.start(ctx, *ch)
+	ch.Delay = time.Hour
+	k.start(ctx, *ch)
+	cancel()
+	k.wait()
+}
--- a/internal/dsrhost/decide.go
+++ b/internal/dsrhost/decide.go
@@ -38,6 +38,7 @@
 		host: h, core: dsr.New(h.settings.Zone, h.deps.Format, xxhash.Sum64String(h.settings.Data.String())), writer: writer,
 		out: make([]netio.Datagram, 1), log: newRecordLog(h.deps.Logger, h.deps.LogOutput),
 	}
+	defer h.checker.wait()
 	ticker := time.NewTicker(gaugeInterval)
 	defer ticker.Stop()
 	for {
@@ -49,6 +50,8 @@
 			h.packets.Release(p)
 		case e := <-h.events:
 			d.handleFeedEvent(e)
+		case r := <-h.checker.results:
+			h.stats.checks[d.core.CheckDone(h.elapsed(), r)].Inc()
 		case answer := <-h.stateRequests:
 			answer <- d.core.State(h.elapsed())
 		case <-ticker.C:
@@ -59,6 +62,9 @@
 		if d.core.TakeConfirmRequest() {
 			h.feed.requestConfirmation()
 		}
+		for _, ch := range d.core.TakeChecks() {
+			h.checker.start(ctx, ch)
+		}
 		d.log.write(d.core.TakeRecords())
 		h.stats.observeSamples(d.core.TakeSamples())
 	}
--- a/internal/dsrhost/host.go
+++ b/internal/dsrhost/host.go
@@ -60,6 +60,7 @@
 	replica       *replica.Replica
 	translator    *translator
 	feed          *feed
+	checker       *checker
 	// peer is nil if the host has no control address.
 	peer *dsrpeer.Peer
 }
@@ -84,6 +85,7 @@
 		stateRequests: make(chan chan *dsr.State),
 	}
 	h.stats = newStats(d.LogOutput)
+	h.checker = newChecker(h.elapsed)
 	h.translator = &translator{layout: d.Layout, log: logging.ForComponent(d.Logger, "directory"), stats: h.stats}
 	h.replica = replica.New(h.translator, h.elapsed)
 	h.feed = &feed{
--- a/internal/dsrhost/stats.go
+++ b/internal/dsrhost/stats.go
@@ -20,7 +20,9 @@
 	handshakeTimeouts, waitingFlowResets *metrics.Counter
 	handshakes, answers                  *metrics.Histogram
 	packets                              map[dsr.Effect]*metrics.Counter
-	flows, version, configurationAge     atomic.Int64
+	// checks counts checks of upstreams by what they say.
+	checks                           map[dsr.CheckOutcome]*metrics.Counter
+	flows, version, configurationAge atomic.Int64
 }
 
 // Values of the metric label "op" for calls to the store.
@@ -46,6 +48,10 @@
 		answers:           set.NewHistogram("mimosashore_dsr_answer_seconds"),
 		packets:           make(map[dsr.Effect]*metrics.Counter),
 	}
+	s.checks = make(map[dsr.CheckOutcome]*metrics.Counter)
+	for _, o := range dsr.CheckOutcomes() {
+		s.checks[o] = set.NewCounter(fmt.Sprintf("mimosashore_dsr_checks_total{outcome=%q}", o))
+	}
 	set.NewGauge("mimosashore_dsr_flows", func() float64 { return float64(s.flows.Load()) })
 	set.NewGauge("mimosashore_dsr_configuration_age_seconds", func() float64 { return time.Duration(s.configurationAge.Load()).Seconds() })
 	set.NewGauge("mimosashore_dsr_configuration_version", func() float64 { return float64(s.version.Load()) })
