dsr: a connection accepted by another upstream at the address is no life

Requests at upstreams that went dark waited for their deadline once the address was in use again: the new process accepts the connections of checks, and this host may never have sent it a packet, so that nothing showed whose process it is.

An accepted connection shows that a process listens, the directory whose it is. If the upstream left a check unanswered or lost its registration, an entry of one that started later at the address is enough. An entry of another writer at the address of a live upstream still says nothing. TestAcceptedConnectionAtAddressInUseAgainIsNoLife fails without it.

--- a/internal/dsr/check.go
+++ b/internal/dsr/check.go
@@ -260,8 +260,8 @@
 	evidence := Evidence{Fact: checkFacts[outcome], Source: SourceCheck, At: r.StartedAt}
 	switch outcome {
 	case CheckAccepted:
-		if v := c.successorAt(u); v != nil {
-			c.markSilent(now, u, flowEvidence("another upstream answers at the address", v.reachedAt), silenceTimeout)
+		if v, e := c.successorAt(now, u); v != nil {
+			c.markSilent(now, u, e, silenceTimeout)
 		}
 	case CheckRefused:
 		c.markSilent(now, u, evidence, 0)
@@ -282,9 +282,10 @@
 
 // recheckDone handles another check of a silent upstream. Without any open flow there is nothing to decide.
 func (c *Core) recheckDone(now time.Duration, u *upstream, outcome CheckOutcome, startedAt time.Duration) {
+	successor, _ := c.successorAt(now, u)
 	switch {
 	case u.silentAt == 0:
-	case outcome == CheckAccepted && c.successorAt(u) == nil:
+	case outcome == CheckAccepted && successor == nil:
 		c.endSilence(u)
 	case u.flows == 0:
 		u.silentAt = 0
@@ -295,15 +296,22 @@
 	}
 }
 
-// successorAt returns the upstream that answers at the address of the given one, or nil. A process
-// answers only packets with its own identity, so the other one's is gone.
-func (c *Core) successorAt(u *upstream) *upstream {
+// successorAt returns the upstream that accepts connections at the address of the given one in its place,
+// with the evidence, or nil. A process answers only packets with its own identity, so if another one
+// answers, this one has ended. If it lacks an answer to a check or its registration as well, an entry of one
+// that started later at its address is enough.
+func (c *Core) successorAt(now time.Duration, u *upstream) (*upstream, Evidence) {
+	ended := u.silentAt != 0 || u.gone || u.removeAt != 0 && !u.lost
 	for _, v := range c.byKey {
-		if v.Addr == u.Addr && v.ID != u.ID && v.reachedAt > u.reachedAt {
-			return v
+		switch {
+		case v.Addr != u.Addr || v.ID == u.ID || v.unreadable:
+		case v.reachedAt > u.reachedAt:
+			return v, flowEvidence("another upstream answers at the address", v.reachedAt)
+		case ended && v.Incarnation > u.Incarnation:
+			return v, directoryEvidence(netip.AddrPort{}, "an upstream that started later is registered at the address", v.Position(), now)
 		}
 	}
-	return nil
+	return nil, Evidence{}
 }
 
 // markSilent records that an upstream does not answer this host, and resets the flows that have waited for
--- a/internal/dsr/check_test.go
+++ b/internal/dsr/check_test.go
@@ -284,3 +284,40 @@
 	f.advance(checkTransit)
 	require.Len(t, f.core.TakeResets(), 1)
 }
+
+// An upstream that ended, by a check or by its registration, does not live again because another one that
+// started later accepts connections at its address.
+func TestAcceptedConnectionAtAddressInUseAgainIsNoLife(t *testing.T) {
+	for name, end := range map[string]func(f *fixture, u *upstream){
+		"silent before": func(f *fixture, u *upstream) {
+			f.network.silent = map[netip.AddrPort]bool{u.Addr: true}
+			f.advance(200 * time.Millisecond)
+		},
+		"registration lapsed": func(f *fixture, u *upstream) { f.unregister(u.Key) },
+		"registration lapsed and gone": func(f *fixture, u *upstream) {
+			f.unregister(u.Key)
+			f.advance(lapseGrace)
+			f.confirm()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			c := f.openFlow(streamPort)
+			f.openFlowOnSameUpstream(c, streamPort)
+			u := f.upstream(c)
+			c.request()
+			end(f, u)
+			c.retransmit()
+			f.advance(checkTime)
+			next := testUpstream(9, "feed", "a")
+			next.Addr = u.Addr
+			f.network.silent = nil
+			f.register(next)
+			f.advance(checkPause)
+			c.retransmit()
+			f.advance(recheckMax)
+			require.Equal(t, Reset, c.retransmit().Action)
+			require.NotZero(t, u.silentAt)
+		})
+	}
+}
