--- a/internal/standin/dsrworld/caller.go
+++ b/internal/standin/dsrworld/caller.go
@@ -43,6 +43,9 @@
 	lastFlowPort uint16
 	inbox        chan datagram
 
+	// takesLastEcho is set if a SYN+ACK that does not open the flow changes the echo as well.
+	takesLastEcho bool
+
 	mu         sync.Mutex
 	impairment Impairment
 }
@@ -118,6 +121,10 @@
 	}
 }
 
+// TakeLastEcho makes the flows that are opened from now on send the echo of any last packet received, also
+// that of a second SYN+ACK. By default they ignore it.
+func (c *Caller) TakeLastEcho() { c.takesLastEcho = true }
+
 // Close closes the socket.
 func (c *Caller) Close() { c.conn.Close() }
 
@@ -242,11 +249,14 @@
 			return p, ErrWrongAnswer
 		}
 		// A retransmitted SYN can reach a second upstream, which answers with another
-		// SYN-ACK. It is ignored, with its echo, since the flow is already open at the first.
+		// SYN-ACK. It is ignored, since the flow is already open at the first.
 		if f.trace.Opened && p.flags&syn != 0 {
 			if p.seq != f.trace.Upstream {
 				f.trace.OtherSYNACKs++
 			}
+			if f.caller.takesLastEcho {
+				f.echo = p.echo
+			}
 			continue
 		}
 		f.echo = p.echo
@@ -254,6 +264,17 @@
 	}
 }
 
+// Wait receives packets of the flow for a duration without sending any.
+func (f *Flow) Wait(d time.Duration) error {
+	for until := time.Now().Add(d); ; {
+		if _, err := f.receive(until); errors.Is(err, ErrTimeout) {
+			return nil
+		} else if err != nil {
+			return err
+		}
+	}
+}
+
 // Request sends a request, retransmits it until it is answered, and returns the
 // name of the upstream that answered.
 func (f *Flow) Request(text string) (string, error) {
--- a/internal/standin/dsrworld/upstream.go
+++ b/internal/standin/dsrworld/upstream.go
@@ -52,8 +52,12 @@
 	draining bool
 	// serviceTime is the time from a request to its answer.
 	serviceTime time.Duration
-	openings    []Opening
-	strays      []Stray
+	// firstSYNTime and copiedSYNTime are the times from the first SYN of a flow and from a
+	// retransmission of it to the SYN+ACK.
+	firstSYNTime, copiedSYNTime time.Duration
+
+	openings []Opening
+	strays   []Stray
 	// arrivals holds the times of the packets of open flows, by caller.
 	arrivals map[netip.AddrPort][]time.Time
 }
@@ -177,6 +181,14 @@
 	u.serviceTime = d
 }
 
+// SetHandshakeTimes sets the times from the first SYN of a flow, and from a retransmission of it, to
+// the SYN+ACK.
+func (u *Upstream) SetHandshakeTimes(first, copied time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.firstSYNTime, u.copiedSYNTime = first, copied
+}
+
 // Drain makes the upstream set FIN in the next answer on each flow.
 func (u *Upstream) Drain() {
 	u.mu.Lock()
@@ -265,8 +277,17 @@
 		return
 	}
 	encoded, to := reply.encode(), netip.AddrPortFrom(p.src.Addr(), port)
-	if len(reply.data) > 0 && u.serviceTime > 0 {
-		time.AfterFunc(u.serviceTime, func() { u.send(encoded, to) })
+	var delay time.Duration
+	switch {
+	case len(reply.data) > 0:
+		delay = u.serviceTime
+	case p.flags&syn != 0 && p.ack == 0:
+		delay = u.firstSYNTime
+	case p.flags&syn != 0:
+		delay = u.copiedSYNTime
+	}
+	if delay > 0 {
+		time.AfterFunc(delay, func() { u.send(encoded, to) })
 		return
 	}
 	u.send(encoded, to)
