dsr: a copy of a SYN carries a provisional token

What callers see: an open flow is reset by an upstream that it was not opened at, while its own one serves.

Cause: a copy of a SYN may go to a second upstream (moved after 60 ms, or through another host), and both answer. The caller acknowledges one answer and has the token of the last one, which any host routed by that does not have the flow, such as one that has just joined the rotation.

A copy now carries a provisional token: that of the upstream with the first bit inverted. Packets after the SYN carry the token, so that the upstream's next packet gives it to the caller. Hosts route by a provisional token only if they know the flow to be open there, or forwarded a SYN of it within 1.4 s; any other host drops the packet, without a reset. Tokens of two upstreams are shared if their last 31 bits are equal.

While hosts of both versions run, one of the version before may reset a flow whose packets have a provisional token, which it does not know.

--- a/internal/dsr/token_test.go
+++ b/internal/dsr/token_test.go
@@ -75,3 +75,92 @@
 	c.ackAnswer()
 	require.Equal(t, f.now, other.lastAnswerAt)
 }
+
+// Guards against a packet of an open flow that reaches another upstream, which answered the SYN too, through
+// a host that does not know the flow.
+func TestProvisionalTokenOfUnknownFlowIsNotRouted(t *testing.T) {
+	f := newFixture(t)
+	c := f.caller(orderPort)
+	e := c.retransmitSYN(1)
+	require.Equal(t, f.upstream(c).token.provisional(), e.Token)
+	other := f.caller(orderPort)
+	other.token, other.seq, other.ack = e.Token, 101, 500
+	e = other.request()
+	require.Equal(t, Drop, e.Action)
+	require.Equal(t, ReasonProvisionalToken, e.Reason)
+	require.False(t, e.Resync, "the upstream is known")
+}
+
+// The upstream gets its token with the packet that opens the flow there, which any host routes by then.
+func TestFlowIsOpenedWithTokenOfItsUpstream(t *testing.T) {
+	f := newFixture(t)
+	c := f.caller(orderPort)
+	provisional := c.retransmitSYN(1).Token
+	own := f.upstream(c)
+	require.NotEqual(t, own.token, provisional)
+	require.Equal(t, own.token, c.completeHandshake().Token)
+	c.token = provisional
+	e := c.request()
+	require.Equal(t, own.Addr, e.To)
+	require.Equal(t, own.token, e.Token, "the acknowledgement that was lost behind this host is repeated by the request")
+}
+
+func TestOpenFlowIgnoresProvisionalTokenOfAnotherUpstream(t *testing.T) {
+	for name, tt := range map[string]struct {
+		jump uint32
+		want Action
+	}{
+		"packet continues the flow":    {0, Forward},
+		"sequence numbers are unknown": {1 << 30, Drop},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			c := f.openFlow(orderPort)
+			own := f.upstream(c)
+			c.token = f.core.byKey["u6"].token.provisional()
+			c.seq += tt.jump
+			e := c.request()
+			require.Equal(t, tt.want, e.Action)
+			if tt.want == Forward {
+				require.Equal(t, own.Addr, e.To)
+			}
+		})
+	}
+}
+
+// The first upstream answers late, after the copy of the SYN went to another one.
+func TestHandshakeIsCompletedWithUpstreamOfFirstSYN(t *testing.T) {
+	f := newFixture(t)
+	c := f.caller(orderPort)
+	first := c.sendSYN()
+	f.advance(200 * time.Millisecond)
+	require.Equal(t, ReasonMoved, c.retransmitSYN(1).Reason)
+	require.NotEqual(t, first.To, c.last.To)
+	c.token = first.Token
+	require.Equal(t, first.To, c.completeHandshake().To)
+	require.Equal(t, first.To, c.request().To)
+}
+
+// Guards against a host that forwards a copy of the SYN of a flow that is opened through another one, and that
+// the flow comes back to later.
+func TestProvisionalTokenIsNotRoutedAfterAttempt(t *testing.T) {
+	f := newFixture(t)
+	c := f.caller(orderPort)
+	c.retransmitSYN(1)
+	f.advance(attemptTime + time.Millisecond)
+	require.Equal(t, ReasonProvisionalToken, c.completeHandshake().Reason)
+}
+
+// Guards against packets with the token of one upstream that count as ones with the provisional token of another.
+func TestUpstreamWhoseTokenIsProvisionalTokenOfAnotherGetsNoNewFlows(t *testing.T) {
+	f := newFixture(t)
+	u := f.core.byKey["u1"]
+	d := testUpstream(9, "orders", "a")
+	twin := &upstream{Upstream: d, token: u.token.provisional(), zone: f.core.zoneOf("a"), service: f.core.serviceOf("orders")}
+	f.core.byKey[d.Key] = twin
+	f.core.indexUpstream(twin)
+	require.False(t, u.usable())
+	require.False(t, twin.usable())
+	f.core.markGone(f.now, twin, "test", Evidence{})
+	require.True(t, u.usable())
+}
