dsr: a late SYN of an open flow is dropped

What callers see: the same reset by a second upstream, with one host and no change of the rotation.

Cause, found by reading: a copy of a SYN that arrives after the handshake was moved to another upstream if that of the flow was draining or suspect, and a late first SYN was always placed anew as if the port had been used again. The host then took the flow for one that is being opened at the other upstream, and sent it the packets that have its token.

A SYN with the sequence number of the attempt that the flow was opened with is now dropped once the handshake is completed: the caller has an answer.

TestLateSYNOfOpenFlowReachesNoOtherUpstream failed before.

--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -219,6 +219,10 @@
 	reason := ReasonPlaced
 	var moved Evidence
 	if f != nil && !reused {
+		if f.phase != phaseOpening && f.phase != phaseOverdue {
+			// The caller has an answer already. Another upstream would answer the SYN too.
+			return Effect{Action: Drop, Reason: ReasonSYNRetransmit}
+		}
 		f.synRetransmits++
 		if c.keepsUpstream(now, f) {
 			return c.forwardSYN(p, f.upstream, ReasonSYNRetransmit)
@@ -272,13 +276,9 @@
 	return Effect{Action: Drop, Reason: ch.reason}
 }
 
-// isRetransmit reports whether a SYN belongs to the attempt that the flow was opened with. Any other
-// one is of a new flow from the same port. After the handshake, the first SYN may be a late duplicate
-// too; it is placed anew.
+// isRetransmit reports whether a SYN belongs to the attempt that the flow was opened with, of which it may
+// be a late duplicate. Any other one is of a new flow from the same port.
 func (f *flow) isRetransmit(now time.Duration, p *Packet) bool {
-	if p.SYNRetransmits == 0 && f.phase != phaseOpening && f.phase != phaseOverdue {
-		return false
-	}
 	return f.openedAt != 0 && p.Seq == f.synSeq && now-f.openedAt <= attemptTime
 }
 
--- a/internal/dsr/core_test.go
+++ b/internal/dsr/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -102,6 +103,25 @@
 	}
 }
 
+// Guards against a second upstream that answers the SYN of an open flow, because the SYN or a copy of it
+// arrived late and the flow's upstream takes no new flows.
+func TestLateSYNOfOpenFlowReachesNoOtherUpstream(t *testing.T) {
+	for retransmits := range byte(3) {
+		f := newFixture(t)
+		c := f.openFlow(orderPort)
+		own := f.upstream(c)
+		d := own.Upstream
+		d.Draining = true
+		f.register(d)
+		f.advance(500 * time.Millisecond)
+		late := &caller{f: f, id: c.id, port: c.port, seq: 100}
+		late.retransmitSYN(retransmits)
+		require.Contains(t, []netip.AddrPort{{}, own.Addr}, late.last.To)
+		c.token = f.core.byKey["u6"].token.provisional()
+		require.Equal(t, own.Addr, c.request().To)
+	}
+}
+
 // The counters of open work match the flows after any sequence of packets and changes.
 func TestPropertyCountsMatchFlows(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
