--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -38,7 +38,8 @@
 	waiters  waiters
 	unrouted unrouted
 
-	byKey       map[string]*upstream
+	byKey map[string]*upstream
+	// tokens holds the upstreams by the index of their tokens.
 	tokens      map[Token]*upstream
 	services    map[string]*service
 	zones       map[string]*zone
@@ -225,9 +226,13 @@
 	reason := ReasonPlaced
 	var moved Evidence
 	if f != nil && !reused {
+		if f.phase != phaseOpening && f.phase != phaseOverdue {
+			// The caller has an answer already. Another upstream would answer the SYN too.
+			return Effect{Action: Drop, Reason: ReasonSYNRetransmit}
+		}
 		f.synRetransmits++
 		if c.keepsUpstream(now, f) {
-			return c.forwardTo(f.upstream, ReasonSYNRetransmit)
+			return c.forwardSYN(p, f.upstream, ReasonSYNRetransmit)
 		}
 		reason, moved = ReasonMoved, f.moveEvidence(now)
 	}
@@ -259,7 +264,7 @@
 	c.cache.touch(now, f)
 	c.cache.setPhase(now, f, phaseOpening)
 	c.emitOpening("flow opened", now, p, r, choice, reason)
-	return c.forwardTo(choice.upstream, reason)
+	return c.forwardSYN(p, choice.upstream, reason)
 }
 
 // handleNotPlaced decides on a SYN for which there is no upstream. If all are at their limits, the
@@ -278,19 +283,13 @@
 	return Effect{Action: Drop, Reason: ch.reason}
 }
 
-// isRetransmit reports whether a SYN belongs to the attempt that the flow was opened with. Any other
-// one is of a new flow from the same port. After the handshake, the first SYN may be a late duplicate
-// too; it is placed anew.
+// isRetransmit reports whether a SYN belongs to the attempt that the flow was opened with, of which it may
+// be a late duplicate. Any other one is of a new flow from the same port.
 func (f *flow) isRetransmit(now time.Duration, p *Packet) bool {
-	if p.SYNRetransmits == 0 && f.phase != phaseOpening && f.phase != phaseOverdue {
-		return false
-	}
 	return f.openedAt != 0 && p.Seq == f.synSeq && now-f.openedAt <= attemptTime
 }
 
-// keepsUpstream reports whether a retransmitted SYN goes to the upstream of the first one. A second
-// upstream is tried only when needed: if both answer, the caller keeps the token of the later
-// answer.
+// keepsUpstream reports whether a retransmitted SYN goes to the upstream of the first one.
 func (c *Core) keepsUpstream(now time.Duration, f *flow) bool {
 	u := f.upstream
 	switch {
@@ -324,6 +323,16 @@
 	return Effect{Action: Forward, Reason: reason, To: u.Addr, ID: u.ID, Token: u.token}
 }
 
+// forwardSYN forwards a SYN. A retransmission carries the provisional token, since another upstream may
+// answer the first SYN. The upstream gets its token with the packet that opens the flow there.
+func (c *Core) forwardSYN(p *Packet, u *upstream, reason Reason) Effect {
+	e := c.forwardTo(u, reason)
+	if p.SYNRetransmits > 0 {
+		e.Token = u.token.provisional()
+	}
+	return e
+}
+
 // routePacket decides on a packet other than a SYN.
 func (c *Core) routePacket(now time.Duration, p *Packet) Effect {
 	if p.Token == 0 {
@@ -331,7 +340,8 @@
 	}
 	key := flowKey{p.Caller, p.Service}
 	f := c.cache.flows[key]
-	u := c.tokens[p.Token]
+	u := c.tokens[p.Token.index()]
+	provisional := u != nil && p.Token != u.token
 	if f != nil && !f.upstream.gone && (f.upstream.token == p.Token || f.continuedBy(p)) {
 		u = f.upstream
 	}
@@ -341,6 +351,9 @@
 	for u.gone && u.replacedBy != nil && u.replacedBy.hasSameEndpoint(u) {
 		u = u.replacedBy
 	}
+	if provisional && (f == nil || !f.mayBeOpenAt(now, u)) {
+		return Effect{Action: Drop, Reason: ReasonProvisionalToken}
+	}
 	if c.configured && c.routes[p.Service] == nil {
 		if now < c.storeSettledAt {
 			// The configuration of a host that just started may be the older one of a restored store.
--- a/internal/dsr/core_test.go
+++ b/internal/dsr/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -102,6 +103,25 @@
 	}
 }
 
+// Guards against a second upstream that answers the SYN of an open flow, because the SYN or a copy of it
+// arrived late and the flow's upstream takes no new flows.
+func TestLateSYNOfOpenFlowReachesNoOtherUpstream(t *testing.T) {
+	for retransmits := range byte(3) {
+		f := newFixture(t)
+		c := f.openFlow(orderPort)
+		own := f.upstream(c)
+		d := own.Upstream
+		d.Draining = true
+		f.register(d)
+		f.advance(500 * time.Millisecond)
+		late := &caller{f: f, id: c.id, port: c.port, seq: 100}
+		late.retransmitSYN(retransmits)
+		require.Contains(t, []netip.AddrPort{{}, own.Addr}, late.last.To)
+		c.token = f.core.byKey["u6"].token.provisional()
+		require.Equal(t, own.Addr, c.request().To)
+	}
+}
+
 // The counters of open work match the flows after any sequence of packets and changes.
 func TestPropertyCountsMatchFlows(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -160,9 +180,9 @@
 	for _, u := range f.core.byKey {
 		require.False(t, u.gone)
 		require.Contains(t, f.core.services[u.Service].upstreams, u)
-		count[u.token]++
-		if o := owners[u.token]; o == nil || u.startedBefore(o) {
-			owners[u.token] = u
+		count[u.token.index()]++
+		if o := owners[u.token.index()]; o == nil || u.startedBefore(o) {
+			owners[u.token.index()] = u
 		}
 	}
 	total := 0
@@ -171,8 +191,8 @@
 	}
 	require.Equal(t, len(f.core.byKey), total)
 	for _, u := range f.core.byKey {
-		require.Equal(t, count[u.token] > 1, u.tokenShared, u.Key)
-		require.Same(t, owners[u.token], f.core.tokens[u.token])
+		require.Equal(t, count[u.token.index()] > 1, u.tokenShared, u.Key)
+		require.Same(t, owners[u.token.index()], f.core.tokens[u.token.index()])
 	}
 }
 
