--- a/internal/standin/dsrworld/upstream.go
+++ b/internal/standin/dsrworld/upstream.go
@@ -64,10 +64,15 @@
 	corrupted int
 	// draining is set if each flow is to end with its next answer.
 	draining bool
-	// serviceTime is the time from a request to its answer.
+	// serviceTime is the time that an upstream works on a request.
 	serviceTime time.Duration
-	openings    []Opening
-	strays      []Stray
+	// slots is the number of requests that run at once; running counts them, and waiting holds the
+	// others in the order of their arrival. Zero slots means no limit.
+	slots    int
+	running  int
+	waiting  []func()
+	openings []Opening
+	strays   []Stray
 	// arrivals holds the times of the packets of open flows, by caller.
 	arrivals map[netip.AddrPort][]time.Time
 }
@@ -82,6 +87,8 @@
 	// index of the flow's Opening.
 	open    bool
 	opening int
+	// pending is set while a request waits for a slot or runs.
+	pending bool
 }
 
 // Opening is a SYN that opened a flow at an upstream.
@@ -213,13 +220,38 @@
 	return u.corrupted
 }
 
-// SetServiceTime sets the time from a request to its answer.
+// SetServiceTime sets the time that the upstream works on a request.
 func (u *Upstream) SetServiceTime(d time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.serviceTime = d
 }
 
+// SetSlots limits the number of requests that run at once, so that others queue. A request is
+// acknowledged only with its answer. Zero is no limit.
+func (u *Upstream) SetSlots(n int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.slots = n
+	u.runWaiting()
+}
+
+// runWaiting starts requests for which a slot is free. The caller holds u.mu.
+func (u *Upstream) runWaiting() {
+	for len(u.waiting) > 0 && (u.slots == 0 || u.running < u.slots) {
+		answer := u.waiting[0]
+		u.waiting = u.waiting[1:]
+		u.running++
+		time.AfterFunc(u.serviceTime, func() {
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			answer()
+			u.running--
+			u.runWaiting()
+		})
+	}
+}
+
 // Drain makes the upstream set FIN in the next answer on each flow.
 func (u *Upstream) Drain() {
 	u.mu.Lock()
@@ -301,27 +333,48 @@
 	case len(p.data) > 0 && f.ended:
 		reply.flags, reply.seq = rst, p.ack
 	case len(p.data) > 0:
-		if p.seq == f.next {
+		isNew := p.seq == f.next
+		if isNew {
 			f.next += uint32(len(p.data))
 			u.runCounts[string(p.data)]++
 		}
 		reply.seq, reply.ack = p.ack, p.seq+uint32(len(p.data))
 		reply.data = []byte(u.Name + " " + string(p.data))
-		if u.draining {
-			reply.flags |= fin
+		to := netip.AddrPortFrom(p.src.Addr(), port)
+		switch {
+		case isNew && u.slots > 0:
+			f.pending = true
+			u.waiting = append(u.waiting, func() {
+				f.pending = false
+				u.answer(reply, to)
+			})
+			u.runWaiting()
+		case f.pending:
+		case u.slots == 0 && u.serviceTime > 0:
+			time.AfterFunc(u.serviceTime, func() {
+				u.mu.Lock()
+				defer u.mu.Unlock()
+				u.answer(reply, to)
+			})
+		default:
+			u.answer(reply, to)
 		}
+		return
 	case p.flags&fin != 0:
 		f.ended = true
 		reply.flags, reply.seq, reply.ack = fin|ack, p.ack, p.seq+1
 	default:
 		return
 	}
-	encoded, to := reply.encode(), netip.AddrPortFrom(p.src.Addr(), port)
-	if len(reply.data) > 0 && u.serviceTime > 0 {
-		time.AfterFunc(u.serviceTime, func() { u.send(encoded, to) })
-		return
+	u.send(reply.encode(), netip.AddrPortFrom(p.src.Addr(), port))
+}
+
+// answer sends the answer to a request. The caller holds u.mu.
+func (u *Upstream) answer(reply packet, to netip.AddrPort) {
+	if u.draining {
+		reply.flags |= fin
 	}
-	u.send(encoded, to)
+	u.send(reply.encode(), to)
 }
 
 func (u *Upstream) send(b []byte, to netip.AddrPort) {
