dsr: controls and successors of a checked upstream are found without a search of the directory

A check compared all upstreams for its controls, and all for one at the same address: 20 ms in the core's goroutine at 91,000 upstreams, by BenchmarkCheck. At most 64 of each zone are compared now, and upstreams are indexed by address: 53 microseconds, 9 at 150 upstreams. An upstream takes 808 bytes in place of 786, a changed registration 302 ns in place of 296, an upstream that leaves and its successor 2.7 to 4.0 microseconds in place of 2.3 to 3.4 (one run each, beside other runs).

--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -254,6 +254,8 @@
 	s := c.serviceOf(u.Service)
 	s.upstreams = append(s.upstreams, u)
 	s.sharesStale = true
+	u.zone.add(u)
+	c.byAddress[u.Addr] = append(c.byAddress[u.Addr], u)
 	other := c.tokens[u.token.index()]
 	if other == nil || other.gone {
 		c.tokens[u.token.index()] = u
@@ -279,6 +281,12 @@
 		s.upstreams = slices.Delete(s.upstreams, i, i+1)
 		s.sharesStale = true
 	}
+	u.zone.remove(u)
+	if same := c.byAddress[u.Addr]; len(same) > 1 {
+		c.byAddress[u.Addr] = slices.DeleteFunc(same, func(v *upstream) bool { return v == u })
+	} else if len(same) == 1 && same[0] == u {
+		delete(c.byAddress, u.Addr)
+	}
 	if !u.tokenShared {
 		return
 	}
--- a/internal/dsr/bench_test.go
+++ b/internal/dsr/bench_test.go
@@ -146,6 +146,24 @@
 	return full
 }
 
+// BenchmarkCheck measures a check of an upstream that accepts a connection.
+func BenchmarkCheck(b *testing.B) {
+	for _, size := range []int{150, 15000, 91000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			c := New("a", testFormat{}, 0)
+			c.Apply(time.Second, fullDirectory(size))
+			now, u := time.Second, c.byKey[fmt.Sprintf("u%d", size/2)]
+			b.ReportAllocs()
+			for b.Loop() {
+				now += time.Second
+				c.checkUpstream(now, u)
+				ch := c.TakeChecks()[0]
+				c.CheckDone(now, CheckResult{ID: ch.ID, StartedAt: now, Target: Attempts{Accepted: 1}, Controls: make([]Attempts, len(ch.Controls))})
+			}
+		})
+	}
+}
+
 // BenchmarkReplacement measures a drained upstream that leaves and its next incarnation.
 func BenchmarkReplacement(b *testing.B) {
 	for _, size := range []int{150, 15000, 91000} {
--- a/internal/dsr/check.go
+++ b/internal/dsr/check.go
@@ -26,6 +26,8 @@
 	// that loses four packets in five leaves all connections of a check unanswered with a probability of 0.002.
 	zoneControls    = 4
 	minZoneControls = 3
+	// controlSample is the largest number of upstreams of a zone that are compared for the controls.
+	controlSample = 64
 	// maxChecks bounds the checks in progress, rechecks of silent upstreams aside: 8 take up to 344 sockets.
 	maxChecks = 8
 )
@@ -128,24 +130,30 @@
 // controls returns the controls for a check: in the zone of the upstream, and one in another zone, if
 // possible that of this host. Upstreams that have answered last are the likeliest to accept connections.
 func (c *Core) controls(u *upstream) (inZone, elsewhere []*upstream) {
-	for _, v := range c.byKey {
-		if !v.usable() || v.silentAt != 0 || v.removeAt != 0 || v.Addr == u.Addr {
-			continue
-		}
-		if v.Zone == u.Zone {
-			inZone = insertControl(inZone, v, zoneControls, (*upstream).answeredAfter)
-			continue
-		}
-		elsewhere = insertControl(elsewhere, v, 1, func(a, b *upstream) bool {
-			if own := a.Zone == c.zone; own != (b.Zone == c.zone) {
-				return own
+	for _, z := range c.zones {
+		start := int(c.lastCheck) * controlSample
+		for i := range min(len(z.upstreams), controlSample) {
+			v := z.upstreams[(start+i)%len(z.upstreams)]
+			switch {
+			case !v.usable() || v.silentAt != 0 || v.removeAt != 0 || v.Addr == u.Addr:
+			case z == u.zone:
+				inZone = insertControl(inZone, v, zoneControls, (*upstream).answeredAfter)
+			default:
+				elsewhere = insertControl(elsewhere, v, 1, c.isBetterElsewhere)
 			}
-			return a.answeredAfter(b)
-		})
+		}
 	}
 	return inZone, elsewhere
 }
 
+// isBetterElsewhere orders the controls outside the zone of the checked upstream.
+func (c *Core) isBetterElsewhere(u, v *upstream) bool {
+	if own := u.Zone == c.zone; own != (v.Zone == c.zone) {
+		return own
+	}
+	return u.answeredAfter(v)
+}
+
 // answeredAfter orders upstreams by their last answer, then by rank and key.
 func (u *upstream) answeredAfter(v *upstream) bool {
 	return cmp.Or(cmp.Compare(v.lastAnswerAt, u.lastAnswerAt), cmp.Compare(u.rank, v.rank), cmp.Compare(u.Key, v.Key)) < 0
@@ -302,9 +310,9 @@
 // that started later at its address is enough.
 func (c *Core) successorAt(now time.Duration, u *upstream) (*upstream, Evidence) {
 	ended := u.silentAt != 0 || u.gone || u.removeAt != 0 && !u.lost
-	for _, v := range c.byKey {
+	for _, v := range c.byAddress[u.Addr] {
 		switch {
-		case v.Addr != u.Addr || v.ID == u.ID || v.unreadable:
+		case v.ID == u.ID || v.unreadable:
 		case v.reachedAt > u.reachedAt:
 			return v, flowEvidence("another upstream answers at the address", v.reachedAt)
 		case ended && v.Incarnation > u.Incarnation:
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -39,6 +39,8 @@
 	unrouted unrouted
 
 	byKey map[string]*upstream
+	// byAddress holds the upstreams that are not gone. One that ended may still have the address of another one.
+	byAddress map[netip.AddrPort][]*upstream
 	// tokens holds the upstreams by the index of their tokens.
 	tokens      map[Token]*upstream
 	services    map[string]*service
@@ -110,6 +112,7 @@
 		format:        format,
 		cache:         newFlowCache(),
 		byKey:         make(map[string]*upstream),
+		byAddress:     make(map[netip.AddrPort][]*upstream),
 		tokens:        make(map[Token]*upstream),
 		services:      make(map[string]*service),
 		zones:         make(map[string]*zone),
--- a/internal/dsr/core_test.go
+++ b/internal/dsr/core_test.go
@@ -190,7 +190,18 @@
 		total += len(s.upstreams)
 	}
 	require.Equal(t, len(f.core.byKey), total)
+	inZones, atAddresses := 0, 0
+	for _, z := range f.core.zones {
+		inZones += len(z.upstreams)
+	}
+	for _, same := range f.core.byAddress {
+		atAddresses += len(same)
+	}
+	require.Equal(t, len(f.core.byKey), inZones)
+	require.Equal(t, len(f.core.byKey), atAddresses)
 	for _, u := range f.core.byKey {
+		require.Same(t, u, u.zone.upstreams[u.zoneIndex])
+		require.Contains(t, f.core.byAddress[u.Addr], u)
 		require.Equal(t, count[u.token.index()] > 1, u.tokenShared, u.Key)
 		require.Same(t, owners[u.token.index()], f.core.tokens[u.token.index()])
 	}
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -33,6 +33,8 @@
 	token   Token
 	zone    *zone
 	service *service
+	// zoneIndex is the place of the upstream in zone.upstreams.
+	zoneIndex int
 	// tokenShared is set while another known upstream has the same token.
 	tokenShared bool
 	// unreadable is set while the registration cannot be decoded or names an unknown service.
@@ -106,9 +108,10 @@
 
 // zone is the state of an availability zone, inferred from its upstreams.
 type zone struct {
-	name    string
-	opening int
-	backoff backoff
+	name      string
+	upstreams []*upstream
+	opening   int
+	backoff   backoff
 	// reachedAt is when the last packet was sent that any of its upstreams is known to have
 	// answered.
 	reachedAt time.Duration
@@ -117,6 +120,23 @@
 	firstTimedOut *upstream
 }
 
+func (z *zone) add(u *upstream) {
+	u.zoneIndex = len(z.upstreams)
+	z.upstreams = append(z.upstreams, u)
+}
+
+// remove removes an upstream, whose place the last one takes.
+func (z *zone) remove(u *upstream) {
+	if u.zoneIndex >= len(z.upstreams) || z.upstreams[u.zoneIndex] != u {
+		return
+	}
+	last := len(z.upstreams) - 1
+	z.upstreams[u.zoneIndex] = z.upstreams[last]
+	z.upstreams[u.zoneIndex].zoneIndex = u.zoneIndex
+	z.upstreams[last] = nil
+	z.upstreams = z.upstreams[:last]
+}
+
 // usable reports whether new flows may be assigned to the upstream.
 func (u *upstream) usable() bool {
 	return !u.gone && !u.Draining && !u.tokenShared && !u.unreadable
