dsr: a check has twice as many attempts, and none after its time

Sixteen attempts, every second one with controls, take the same 360 ms: one in 65,000, and at the worst 2 in 10^7 where a control shares the way. A host that was paused in the middle of a check went on with attempts that had no time left; it stops now.

TestCheckOpensNoConnectionsAfterItsTime failed before.

--- a/internal/dsr/check.go
+++ b/internal/dsr/check.go
@@ -7,12 +7,14 @@
 )
 
 const (
-	// checkAttempts is the number of connections that a check opens to a target. A lossy link leaves all of
-	// one target's unanswered, and none of a control's, with a probability of 2^-16 at most.
-	checkAttempts = 8
+	// checkAttempts is the number of connections that a check opens to an upstream, controlAttempts to each
+	// control. If the way loses two of three, which is the worst case, all of the upstream's and none of one
+	// control's stay unanswered with a probability of 2 in 10^7.
+	checkAttempts   = 16
+	controlAttempts = checkAttempts / 2
 	// checkInterval is the time between two attempts of a check, checkTime its length. A check that begins
 	// with the first retransmission ends when silenceTimeout is just over.
-	checkInterval = 40 * time.Millisecond
+	checkInterval = 20 * time.Millisecond
 	checkTime     = silenceTimeout - retransmitTime + 10*time.Millisecond
 	// retransmitTime is the time after which a caller first repeats a packet.
 	retransmitTime = 200 * time.Millisecond
@@ -22,13 +24,13 @@
 	// recheckMin and recheckMax bound the time between two checks of a silent upstream, which doubles.
 	recheckMin = 200 * time.Millisecond
 	recheckMax = time.Second
-	// zoneControls is the number of controls in the zone of the checked upstream. With minZoneControls, a zone
-	// that loses four packets in five leaves all connections of a check unanswered with a probability of 0.002.
+	// zoneControls is the number of controls in the zone of the checked upstream. With minZoneControls, a way
+	// that loses four of five leaves all connections to the zone unanswered with a probability of 1 in 10^4.
 	zoneControls    = 4
 	minZoneControls = 3
 	// controlSample is the largest number of upstreams of a zone that are compared for the controls.
 	controlSample = 64
-	// maxChecks bounds the checks in progress, rechecks of silent upstreams aside: 8 take up to 344 sockets.
+	// maxChecks bounds the checks in progress, rechecks of silent upstreams aside: 8 take up to 448 sockets.
 	maxChecks = 8
 )
 
@@ -40,9 +42,9 @@
 	// Target is the address of the upstream, Controls are those of the other ones.
 	Target   netip.AddrPort
 	Controls []netip.AddrPort
-	// Attempts is the number of connections to each address, one each Interval. The first one after Delay
-	// is to Target alone. The check ends after the first answer of Target and one attempt at each
-	// control, or Time after the first attempt.
+	// Attempts is the number of connections to Target, one each Interval from Delay on. Every second one is
+	// joined by one to each control. The check ends with the first that Target accepts; after the first that it
+	// refuses, each control is tried once more; or Time after the first attempt.
 	Attempts              int
 	Delay, Interval, Time time.Duration
 }
@@ -73,11 +75,13 @@
 	return a.answered() > 0 && a.Unanswered == 0 && a.Failed == 0
 }
 
-// noneAnswered reports whether all attempts of a check were without an answer.
-func (a Attempts) noneAnswered() bool {
-	return a.Unanswered >= checkAttempts-1 && a.answered() == 0 && a.Failed == 0
+// noneAnswered reports whether all attempts of a check, of the given number, were without an answer.
+func (a Attempts) noneAnswered(attempts int) bool {
+	return a.Unanswered >= attempts && a.answered() == 0 && a.Failed == 0
 }
 
+func controlSilent(a Attempts) bool { return a.noneAnswered(controlAttempts) }
+
 // check is a check in progress.
 type check struct {
 	upstream *upstream
@@ -220,10 +224,10 @@
 		return CheckRefused
 	case r.Target.Refused > 0 && countControls(elsewhere, Attempts.accepted) > 0:
 		return CheckZoneUnreachable
-	case !r.Target.noneAnswered() || len(inZone) == 0:
+	case !r.Target.noneAnswered(checkAttempts) || len(inZone) == 0:
 		return CheckInconclusive
 	}
-	answered, silent := countControls(inZone, Attempts.allAnswered), countControls(inZone, Attempts.noneAnswered)
+	answered, silent := countControls(inZone, Attempts.allAnswered), countControls(inZone, controlSilent)
 	switch {
 	case answered+silent < len(inZone):
 		return CheckInconclusive
@@ -278,7 +282,7 @@
 	case CheckZoneUnreachable:
 		c.markSilent(now, u, evidence, silenceTimeout)
 		for i, v := range k.inZone {
-			if r.Controls[i].noneAnswered() && !v.checking {
+			if controlSilent(r.Controls[i]) && !v.checking {
 				c.markSilent(now, v, evidence, silenceTimeout)
 			}
 		}
--- a/internal/dsr/check_test.go
+++ b/internal/dsr/check_test.go
@@ -58,7 +58,7 @@
 	r := CheckResult{ID: ch.ID, StartedAt: f.now, Controls: make([]Attempts, len(ch.Controls))}
 	for i := range ch.Attempts {
 		f.network.connect(&r.Target, ch.Target)
-		if i > 0 || r.Target.Refused > 0 {
+		if i%2 == 1 || r.Target.Refused > 0 {
 			for j, control := range ch.Controls {
 				f.network.connect(&r.Controls[j], control)
 			}
@@ -103,8 +103,8 @@
 
 // Each result of connections, and what it says of the upstream.
 func TestCheckOutcome(t *testing.T) {
-	accepted, refused := Attempts{Accepted: checkAttempts - 1}, Attempts{Refused: checkAttempts - 1}
-	none, partial := Attempts{Unanswered: checkAttempts - 1}, Attempts{Accepted: 3, Unanswered: 4}
+	accepted, refused := Attempts{Accepted: controlAttempts}, Attempts{Refused: controlAttempts}
+	none, partial := Attempts{Unanswered: controlAttempts}, Attempts{Accepted: 3, Unanswered: controlAttempts - 3}
 	target := Attempts{Unanswered: checkAttempts}
 	for _, tc := range []struct {
 		name              string
@@ -112,7 +112,7 @@
 		inZone, elsewhere []Attempts
 		want              CheckOutcome
 	}{
-		{"accepted at last", Attempts{Unanswered: 7, Accepted: 1}, []Attempts{none}, []Attempts{accepted}, CheckAccepted},
+		{"accepted at last", Attempts{Unanswered: checkAttempts - 1, Accepted: 1}, []Attempts{none}, []Attempts{accepted}, CheckAccepted},
 		{"refused", Attempts{Refused: 1}, []Attempts{{Accepted: 1}}, nil, CheckRefused},
 		{"refused, after loss", Attempts{Unanswered: 2, Refused: 1}, []Attempts{partial}, nil, CheckRefused},
 		{"refused, no control in the zone", Attempts{Refused: 1}, nil, []Attempts{accepted}, CheckZoneUnreachable},
@@ -129,8 +129,9 @@
 		{"own link", target, []Attempts{none, none, none}, []Attempts{none}, CheckInconclusive},
 		{"no control in the zone", target, nil, []Attempts{accepted}, CheckInconclusive},
 		{"no control elsewhere", target, []Attempts{none}, nil, CheckInconclusive},
-		{"attempts that failed on this host", Attempts{Unanswered: 7, Failed: 1}, []Attempts{accepted}, nil, CheckInconclusive},
-		{"control that failed on this host", target, []Attempts{{Accepted: 6, Failed: 1}}, nil, CheckInconclusive},
+		{"check that was cut short", Attempts{Unanswered: checkAttempts - 1}, []Attempts{accepted}, nil, CheckInconclusive},
+		{"attempts that failed on this host", Attempts{Unanswered: checkAttempts - 1, Failed: 1}, []Attempts{accepted}, nil, CheckInconclusive},
+		{"control that failed on this host", target, []Attempts{{Accepted: controlAttempts - 1, Failed: 1}}, nil, CheckInconclusive},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			k := &check{inZone: make([]*upstream, len(tc.inZone)), elsewhere: make([]*upstream, len(tc.elsewhere))}
--- a/internal/dsrhost/check.go
+++ b/internal/dsrhost/check.go
@@ -64,7 +64,7 @@
 		}
 	}
 	connect(targetIndex, ch.Target)
-	begun := 1
+	begun, refused := 1, false
 	var next <-chan time.Time
 	if ch.Attempts > 1 {
 		ticker := time.NewTicker(ch.Interval)
@@ -73,24 +73,33 @@
 	}
 	for open > 0 || next != nil {
 		select {
+		case <-ctx.Done():
+			// The timer was late: attempts that begin now would have no time.
+			next = nil
+			if open == 0 {
+				return r
+			}
+			a := <-attempts
+			open--
+			a.count(&r)
 		case <-next:
 			connect(targetIndex, ch.Target)
-			connectControls()
-			if begun++; begun >= ch.Attempts {
+			begun++
+			if begun%2 == 0 {
+				connectControls()
+			}
+			if begun >= ch.Attempts {
 				next = nil
 			}
 		case a := <-attempts:
 			open--
-			if a.target != targetIndex {
-				a.result.count(&r.Controls[a.target])
-				continue
-			}
-			a.result.count(&r.Target)
+			a.count(&r)
 			switch {
+			case a.target != targetIndex:
 			case a.result == connectAccepted:
 				return r
-			case a.result == connectRefused && next != nil:
-				next = nil
+			case a.result == connectRefused && !refused:
+				next, refused = nil, true
 				connectControls()
 			}
 		}
@@ -98,6 +107,24 @@
 	return r
 }
 
+// count adds the attempt to the result of its check.
+func (a attempt) count(r *dsr.CheckResult) {
+	to := &r.Target
+	if a.target != targetIndex {
+		to = &r.Controls[a.target]
+	}
+	switch a.result {
+	case connectAccepted:
+		to.Accepted++
+	case connectRefused:
+		to.Refused++
+	case connectUnanswered:
+		to.Unanswered++
+	case connectFailed:
+		to.Failed++
+	}
+}
+
 // connectResult is the result of one connection.
 type connectResult uint8
 
@@ -108,19 +135,6 @@
 	connectFailed
 )
 
-func (c connectResult) count(a *dsr.Attempts) {
-	switch c {
-	case connectAccepted:
-		a.Accepted++
-	case connectRefused:
-		a.Refused++
-	case connectUnanswered:
-		a.Unanswered++
-	case connectFailed:
-		a.Failed++
-	}
-}
-
 // connectOnce opens a connection and closes it without sending anything.
 func connectOnce(ctx context.Context, address netip.AddrPort) connectResult {
 	d := net.Dialer{KeepAlive: -1}
--- a/internal/dsrhost/check_test.go
+++ b/internal/dsrhost/check_test.go
@@ -92,10 +92,22 @@
 	began := time.Now()
 	r := k.carryOut(t.Context(), testCheck(silentAddress(t), acceptingAddress(t).address, silentAddress(t)))
 	require.Equal(t, dsr.Attempts{Unanswered: 4}, r.Target)
-	require.Equal(t, []dsr.Attempts{{Accepted: 3}, {Unanswered: 3}}, r.Controls, "controls begin one interval later")
+	require.Equal(t, []dsr.Attempts{{Accepted: 2}, {Unanswered: 2}}, r.Controls, "every second attempt has controls")
 	require.GreaterOrEqual(t, time.Since(began), 300*time.Millisecond)
 }
 
+// A host whose timers are late opens no connections that would have no time to be answered.
+func TestCheckOpensNoConnectionsAfterItsTime(t *testing.T) {
+	k := newChecker(func() time.Duration { return 0 })
+	ch := testCheck(silentAddress(t), acceptingAddress(t).address)
+	ch.Attempts, ch.Time = 100, 5*ch.Interval
+	began := time.Now()
+	r := k.carryOut(t.Context(), ch)
+	require.Less(t, time.Since(began), 20*ch.Interval)
+	require.Less(t, r.Target.Unanswered, 20)
+	require.Less(t, r.Controls[0].Accepted+r.Controls[0].Unanswered, 10)
+}
+
 // Attempts that the host itself ends say nothing about the upstream.
 func TestAttemptsThatEndWithTheHostCountAsFailed(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
