soak: lossy links of many callers, and slow upstreams

A tenth to a half of all callers now lose 10 to 50 % of their datagrams, or all answers together in bursts, and upstreams work 5 to 20 times as long on each request, two at a time. Both come from random numbers of their own, so that other faults of a seed stay as they were, and excuse no reset. A reset for which the host's log gives the upstream's silence as the reason is excused by a disruption of that upstream or its link only.

--- a/cmd/mimosa-soak/main.go
+++ b/cmd/mimosa-soak/main.go
@@ -29,6 +29,7 @@
 	Product  bool          `arg:"--product" help:"play the product's own path in place of the platform's"`
 	Restores bool          `arg:"--restores" default:"true" help:"restore the store from a copy now and then; false for the schedules of before that fault"`
 	Links    bool          `arg:"--link-faults" default:"true" help:"add faults of hosts that read the store for others, of other writers and of callers' links; false for the schedules of before"`
+	Silence  bool          `arg:"--silence-faults" default:"true" help:"add lossy links of many callers, and slow upstreams; false for the schedules of before"`
 	Examples string        `arg:"--examples" default:"examples" placeholder:"DIR" help:"directory of the example deployments"`
 	Programs string        `arg:"--programs" default:"bin" placeholder:"DIR" help:"directory of the programs"`
 	Keep     string        `arg:"--keep" placeholder:"DIR" help:"directory for the logs of runs; by default only those of failed ones are kept, in a temporary one"`
@@ -89,7 +90,7 @@
 	}
 	defer faultLog.Close()
 	report, err := soak.Run(ctx, soak.Options{
-		Seed: seed, Length: a.Length, Hosts: a.Hosts, Callers: a.Callers, Product: a.Product, Restores: a.Restores, LinkFaults: a.Links, Programs: a.Programs, Examples: a.Examples, Dir: dir,
+		Seed: seed, Length: a.Length, Hosts: a.Hosts, Callers: a.Callers, Product: a.Product, Restores: a.Restores, LinkFaults: a.Links, SilenceFaults: a.Silence, Programs: a.Programs, Examples: a.Examples, Dir: dir,
 		Log: func(format string, args ...any) {
 			fmt.Fprintf(faultLog, time.Now().Format("15:04:05.000 ")+format+"\n", args...)
 		},
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -470,6 +470,32 @@
 	return err
 }
 
+// slowDown makes an upstream, or with every second value of pick all of its service, slow for the
+// duration of the fault. Slow upstreams live, so they excuse no reset.
+func (o *operator) slowDown(ctx context.Context, f fault) {
+	o.mu.Lock()
+	var slow []*upstreamInstance
+	if chosen := o.slots[f.pick%len(o.slots)].instance; chosen != nil {
+		for _, s := range o.slots {
+			if s.instance == chosen || s.instance != nil && s.instance.service == chosen.service && f.pick/32%2 == 0 {
+				slow = append(slow, s.instance)
+			}
+		}
+	}
+	o.mu.Unlock()
+	factor := minSlowFactor + f.pick/64%(maxSlowFactor-minSlowFactor+1)
+	for _, u := range slow {
+		defer o.record.beginDisruption("work of "+u.slot, false)()
+		u.SetServiceTime(time.Duration(factor) * requestTime)
+		u.SetSlots(u.Registration.Slots)
+		defer func() {
+			u.SetServiceTime(requestTime)
+			u.SetSlots(0)
+		}()
+	}
+	sleep(ctx, f.duration)
+}
+
 // sleep waits for a duration or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -71,6 +71,9 @@
 	if o.LinkFaults {
 		faults = addLinkFaults(o.Seed, faults)
 	}
+	if o.SilenceFaults {
+		faults = addSilenceFaults(o.Seed, faults)
+	}
 	e := &platformEnv{options: o, network: n, record: newRecord(), store: dsrworld.NewStore(), faultsStarted: time.Now()}
 	defer e.store.Close()
 	if err := e.build(random); err != nil {
@@ -254,7 +257,7 @@
 func (e *platformEnv) report(faults int) *Report {
 	e.record.collectObservations()
 	for _, h := range e.hosts {
-		if err := e.record.readRefusals(h.output); err != nil {
+		if err := e.record.readDecisions(h.output); err != nil {
 			e.record.fail(h.name + ": " + err.Error())
 		}
 	}
--- a/internal/soak/platformfaults.go
+++ b/internal/soak/platformfaults.go
@@ -33,6 +33,18 @@
 	maxCallerCut = 1500 * time.Millisecond
 	// maxCallerDelay is the longest delay of a caller's datagram.
 	maxCallerDelay = 500 * time.Millisecond
+	// minLossyPercent and maxLossyPercent bound the callers of a fault of the kind callersLossy, in
+	// percent of all.
+	minLossyPercent = 10
+	maxLossyPercent = 50
+	// minBurst and maxBurst bound the time for which these callers lose all answers together, after
+	// which burstGap passes.
+	minBurst = 300 * time.Millisecond
+	maxBurst = time.Second
+	burstGap = 400 * time.Millisecond
+	// minSlowFactor and maxSlowFactor bound how much longer slow upstreams work on a request.
+	minSlowFactor = 5
+	maxSlowFactor = 20
 )
 
 // inject injects a fault and returns when it is over.
@@ -86,6 +98,10 @@
 		e.operator.putWriterEntry(f.pick)
 	case callerLink:
 		return e.disruptCallers(ctx, f)
+	case callersLossy:
+		e.loseDatagrams(ctx, f)
+	case upstreamSlow:
+		e.operator.slowDown(ctx, f)
 	default:
 		return e.injectUpstreamFault(ctx, f)
 	}
@@ -231,6 +247,38 @@
 	return err
 }
 
+// loseDatagrams makes the links of many callers lose a share of all datagrams, or with every second
+// value of pick all answers in bursts. It disrupts no host, upstream or store.
+func (e *platformEnv) loseDatagrams(ctx context.Context, f fault) {
+	percent := minLossyPercent + f.pick%(maxLossyPercent-minLossyPercent+1)
+	count := max(2, e.options.Callers*percent/100)
+	var lossy []*dsrworld.Caller
+	for n := range count {
+		c := e.callers[(f.pick+n)%e.options.Callers]
+		defer e.record.beginDisruption("caller "+c.Addr().String(), false)()
+		lossy = append(lossy, c)
+	}
+	impair := func(i dsrworld.Impairment) {
+		for _, c := range lossy {
+			c.Impair(i)
+		}
+	}
+	defer impair(dsrworld.Impairment{})
+	if f.pick/64%2 == 0 {
+		loss := float64(minLossyPercent+f.pick/128%(maxLossyPercent-minLossyPercent+1)) / 100
+		impair(dsrworld.Impairment{LossUp: loss, LossDown: loss})
+		sleep(ctx, f.duration)
+		return
+	}
+	burst := minBurst + time.Duration(f.pick/128%int((maxBurst-minBurst)/time.Millisecond))*time.Millisecond
+	for end := time.Now().Add(f.duration); time.Now().Before(end) && ctx.Err() == nil; {
+		impair(dsrworld.Impairment{LossDown: 1})
+		sleep(ctx, burst)
+		impair(dsrworld.Impairment{})
+		sleep(ctx, burstGap)
+	}
+}
+
 func (e *platformEnv) setContactLink(ctx context.Context, h *host, f fault) {
 	defer e.record.beginDisruption(h.key(), false)()
 	h.contact.setMode(f.mode)
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -24,6 +24,9 @@
 	hostRuns       []hostRun
 	// refusals holds the flows that hosts refused because of load, by caller.
 	refusals map[netip.AddrPort][]refusal
+	// silenceResets holds the times at which hosts reset flows because they took the upstream for
+	// silent, by caller.
+	silenceResets map[netip.AddrPort][]time.Time
 	// followed is the number of faults that hit a host that read the store for others.
 	followed int
 	// failures are faults that could not be injected and failed planned stops.
@@ -118,7 +121,9 @@
 }
 
 func newRecord() *record {
-	return &record{disruptions: make(map[string][]*disruption), refusals: make(map[netip.AddrPort][]refusal)}
+	return &record{
+		disruptions: make(map[string][]*disruption), refusals: make(map[netip.AddrPort][]refusal), silenceResets: make(map[netip.AddrPort][]time.Time),
+	}
 }
 
 // beginDisruption records the start of a disruption of the target. The returned
--- a/internal/soak/refusals.go
+++ b/internal/soak/refusals.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -14,6 +15,16 @@
 // because more was asked of its upstreams than they could do.
 const refusedEvent = "core: flow refused"
 
+// resetEvent is the message with which a host logs that it reset a flow, silentReason its reason if
+// the host took the upstream for silent.
+const (
+	resetEvent   = "core: flow reset"
+	silentReason = "upstream silent"
+)
+
+// maxLogDelay is the longest time between a reset at its caller and the host's log line.
+const maxLogDelay = time.Second
+
 // refusal is a flow that a host refused because of load, as logged. A reset at
 // the caller looks the same as that for a missing route.
 type refusal struct {
@@ -35,8 +46,8 @@
 	return (r.Demand+r.Waiting)*(r.WorkMs+1)/1000 >= r.Slots
 }
 
-// readRefusals adds the refusals in the output of a host to the record.
-func (r *record) readRefusals(output io.ReadSeeker) error {
+// readDecisions adds the refusals, and the resets for silence, in the output of a host to the record.
+func (r *record) readDecisions(output io.ReadSeeker) error {
 	if _, err := output.Seek(0, io.SeekStart); err != nil {
 		return eris.Wrap(err, "output of a host can't be read")
 	}
@@ -45,16 +56,27 @@
 	lines := bufio.NewScanner(output)
 	lines.Buffer(nil, 1<<20)
 	for lines.Scan() {
-		var one refusal
+		var one struct {
+			refusal
+			Why string `json:"why"`
+		}
 		// Lines that are not JSON are failures of checkProcess.
-		if json.Unmarshal(lines.Bytes(), &one) != nil || one.Message != refusedEvent {
+		if json.Unmarshal(lines.Bytes(), &one) != nil {
+			continue
+		}
+		silence := one.Message == resetEvent && one.Why == silentReason
+		if !silence && one.Message != refusedEvent {
 			continue
 		}
 		caller, err := netip.ParseAddrPort(one.Caller)
 		if err != nil {
 			return eris.Wrapf(err, "refused caller %q", one.Caller)
 		}
-		r.refusals[caller] = append(r.refusals[caller], one)
+		if silence {
+			r.silenceResets[caller] = append(r.silenceResets[caller], one.Time)
+		} else {
+			r.refusals[caller] = append(r.refusals[caller], one.refusal)
+		}
 	}
 	return eris.Wrap(lines.Err(), "output of a host can't be read")
 }
@@ -62,14 +84,13 @@
 // refusedForLoad reports whether a host logged that it refused the flow because
 // of load, within maxLogDelay of the reset.
 func (v *verifier) refusedForLoad(f *flow) bool {
-	const maxLogDelay = time.Second
-	for i := range v.refusals[f.trace.Local] {
-		one := &v.refusals[f.trace.Local][i]
-		if delay := f.trace.Reset.At.Sub(one.Time).Abs(); delay <= maxLogDelay {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(v.refusals[f.trace.Local], func(one refusal) bool { return f.trace.Reset.At.Sub(one.Time).Abs() <= maxLogDelay })
+}
+
+// resetForSilence reports whether a host logged that it reset the flow because its upstream is silent,
+// within maxLogDelay of the reset.
+func (v *verifier) resetForSilence(f *flow) bool {
+	return slices.ContainsFunc(v.silenceResets[f.trace.Local], func(at time.Time) bool { return f.trace.Reset.At.Sub(at).Abs() <= maxLogDelay })
 }
 
 // checkRefusals checks that refusals because of load are justified.
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -68,6 +68,10 @@
 	lateRestartWrite faultKind = "late-write-restart"
 	// callerLink makes the links of a few callers lose or delay datagrams.
 	callerLink faultKind = "caller-link"
+	// callersLossy makes the links of many callers lose datagrams at the same time.
+	callersLossy faultKind = "callers-lossy"
+	// upstreamSlow makes upstreams work longer on each request, so that requests queue.
+	upstreamSlow faultKind = "upstream-slow"
 )
 
 // weightedKind is a kind with its relative frequency in a schedule.
@@ -88,6 +92,10 @@
 	{readerLink, 4}, {storeSilence, 1}, {writerEntry, 4}, {lateDrainWrite, 3}, {lateRestartWrite, 2}, {callerLink, 5},
 }
 
+// silenceFaults are added to the schedule of the platform path by addSilenceFaults. They make live
+// upstreams look silent.
+var silenceFaults = []weightedKind{{callersLossy, 2}, {upstreamSlow, 1}}
+
 var productFaults = []weightedKind{
 	{hostKill, 4}, {hostPause, 4}, {hostStop, 4}, {hostsKill, 1}, {hostsRoll, 1},
 	{storeDown, 3}, {storeSlow, 2}, {storeStaleReads, 2}, {storeSilentWatches, 2}, {storeLink, 4}, {contactLink, 4},
@@ -135,6 +143,10 @@
 	minRestore = time.Second
 	// linkFaultGap is the mean time between faults of addLinkFaults.
 	linkFaultGap = 1500 * time.Millisecond
+	// silenceFaultGap is the mean time between faults of addSilenceFaults.
+	silenceFaultGap = 2 * time.Second
+	// silenceStream selects the random numbers of addSilenceFaults.
+	silenceStream = 36
 	// minSilence and maxSilence bound the duration of storeSilence.
 	minSilence = 2 * time.Second
 	maxSilence = 3500 * time.Millisecond
@@ -185,10 +197,26 @@
 	return faults
 }
 
-// addLinkFaults adds linkFaults to all phases but the calm ones, from random numbers of their
-// own as addRestores does.
+// addLinkFaults adds linkFaults, from random numbers of their own as addRestores does.
 func addLinkFaults(seed uint64, faults []fault) []fault {
 	random := rand.New(rand.NewPCG(seed, uint64(len(callerLink))))
+	return addFaults(random, faults, linkFaults, linkFaultGap, func(f *fault, end time.Duration) {
+		if f.kind == storeSilence {
+			f.duration = minSilence + time.Duration(f.pick%int((maxSilence-minSilence)/time.Millisecond))*time.Millisecond
+			f.at = min(f.at, end-f.duration)
+		}
+	})
+}
+
+// addSilenceFaults adds silenceFaults, from random numbers of their own as addRestores does.
+func addSilenceFaults(seed uint64, faults []fault) []fault {
+	random := rand.New(rand.NewPCG(seed, silenceStream))
+	return addFaults(random, faults, silenceFaults, silenceFaultGap, func(*fault, time.Duration) {})
+}
+
+// addFaults adds faults of other kinds to all phases of a schedule but the calm ones, with a mean
+// time of gap between them. adjust may change a fault of a phase that ends at the given time.
+func addFaults(random *rand.Rand, faults []fault, kinds []weightedKind, gap time.Duration, adjust func(f *fault, end time.Duration)) []fault {
 	var added []fault
 	at := initialCalm
 	for _, f := range faults {
@@ -196,14 +224,11 @@
 			continue
 		}
 		end := f.at - calmChangeDelay
-		for next := at; next < end; next += linkFaultGap/5 + time.Duration(random.ExpFloat64()*float64(linkFaultGap)*4/5) {
-			l := newFault(random, linkFaults)
+		for next := at; next < end; next += gap/5 + time.Duration(random.ExpFloat64()*float64(gap)*4/5) {
+			l := newFault(random, kinds)
 			l.at = next
 			l.duration = min(l.duration, end-next)
-			if l.kind == storeSilence {
-				l.duration = minSilence + time.Duration(l.pick%int((maxSilence-minSilence)/time.Millisecond))*time.Millisecond
-				l.at = min(next, end-l.duration)
-			}
+			adjust(&l, end)
 			added = append(added, l)
 		}
 		at = end + calmPhase
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -58,6 +58,9 @@
 	// LinkFaults adds, on the platform path, faults of hosts that read the store for others, of
 	// other writers and of callers' links.
 	LinkFaults bool
+	// SilenceFaults adds, on the platform path, faults that make live upstreams look silent: lossy
+	// links of many callers, and slow upstreams.
+	SilenceFaults bool
 	// Programs is the directory of the executables, Examples that of the example
 	// deployments, and Dir that of the settings and logs of the run.
 	Programs, Examples, Dir string
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -36,18 +36,20 @@
 // seed that failed in the past, named after the cause of the failure.
 func TestSoak(t *testing.T) {
 	for name, o := range map[string]Options{
-		"platform path":                {Seed: 7, Length: 18 * time.Second},
-		"product's own path":           {Seed: 7, Length: 18 * time.Second, Product: true},
-		"SIGHUP while a host starts":   {Seed: 1, Length: 18 * time.Second},
-		"late retransmission of a SYN": {Seed: 4, Length: 18 * time.Second},
-		"restored store":               {Seed: 501, Length: 18 * time.Second, Restores: true},
-		"followers, writers and links": {Seed: 9716, Length: 18 * time.Second, Restores: true, LinkFaults: true, Hosts: 6},
-		"restored store, product":      {Seed: 501, Length: 18 * time.Second, Restores: true, Product: true},
+		"platform path":                 {Seed: 7, Length: 18 * time.Second},
+		"product's own path":            {Seed: 7, Length: 18 * time.Second, Product: true},
+		"SIGHUP while a host starts":    {Seed: 1, Length: 18 * time.Second},
+		"late retransmission of a SYN":  {Seed: 4, Length: 18 * time.Second},
+		"restored store":                {Seed: 501, Length: 18 * time.Second, Restores: true},
+		"followers, writers and links":  {Seed: 9716, Length: 18 * time.Second, Restores: true, LinkFaults: true, Hosts: 6},
+		"lossy callers, slow upstreams": {Seed: 36001, Length: 18 * time.Second, Restores: true, LinkFaults: true, SilenceFaults: true, Callers: 48},
+		"restored store, product":       {Seed: 501, Length: 18 * time.Second, Restores: true, Product: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			o.Hosts = cmp.Or(o.Hosts, 4)
-			o.Callers, o.Programs, o.Examples, o.Dir, o.Log = 16, programs, "../../examples", logDir(t), t.Logf
+			o.Callers = cmp.Or(o.Callers, 16)
+			o.Programs, o.Examples, o.Dir, o.Log = programs, "../../examples", logDir(t), t.Logf
 			report, err := Run(t.Context(), o)
 			require.NoError(t, err)
 			t.Log(report)
@@ -99,6 +101,7 @@
 	}{
 		"restores":    {addRestores, []weightedKind{{kind: storeRestore}}},
 		"link faults": {addLinkFaults, linkFaults},
+		"silence":     {addSilenceFaults, silenceFaults},
 	} {
 		t.Run(name, func(t *testing.T) {
 			all := c.add(3, slices.Clone(faults))
--- a/internal/soak/verify.go
+++ b/internal/soak/verify.go
@@ -210,11 +210,19 @@
 	v.fail("CONFIG", "%s was refused by %s at %s although its route was in force", f.service, reset.From, reset.At.Format(timeFormat))
 }
 
-// checkReset checks FLOW for the reset of an open flow.
+// checkReset checks FLOW for the reset of an open flow. A host that takes the upstream for silent is
+// excused by disruptions of that upstream and its link only.
 func (v *verifier) checkReset(f *flow) {
 	reset := f.trace.Reset
 	u, opening := v.holder(f, reset.At)
-	if u == nil || v.dropped(f.service, reset.At) || !v.undisrupted(u.slot, reset.At, reset.At, true) || !v.undisrupted("store", reset.At, reset.At, true) {
+	if u == nil || v.dropped(f.service, reset.At) || !v.undisrupted(u.slot, reset.At, reset.At, true) {
+		return
+	}
+	if reset.ByHost && v.resetForSilence(f) {
+		v.fail("FLOW", "%s took %s for silent and reset %s at %s", reset.From, u.observed.name, f.trace.Local, reset.At.Format(timeFormat))
+		return
+	}
+	if !v.undisrupted("store", reset.At, reset.At, true) {
 		return
 	}
 	if reset.ByHost {
--- a/internal/soak/verify_test.go
+++ b/internal/soak/verify_test.go
@@ -98,6 +98,12 @@
 	s.disruptions[target] = append(s.disruptions[target], &disruption{from: second(from), to: second(to), planned: planned})
 }
 
+// resetForSilence makes a host reset a flow because it takes the upstream for silent.
+func (s *scenario) resetForSilence(f *flow, at float64) {
+	f.trace.Reset = &dsrworld.Reset{At: second(at), From: hostB, ByHost: true}
+	s.silenceResets[f.trace.Local] = append(s.silenceResets[f.trace.Local], second(at))
+}
+
 // logRefusal makes a host log that it refused the last flow because of load.
 func (s *scenario) logRefusal(r refusal) {
 	caller := s.flows[len(s.flows)-1].trace.Local
@@ -213,6 +219,29 @@
 			s.stray(s.openFlow(10, hostA, feedRoute, s.feed, 0), s.orders, 10.1, 10.3, 10.7)
 			s.feed.observed.openings[0].Acknowledged = time.Time{}
 		}, ""},
+		"a reset for silence while host and store are disrupted": {func(s *scenario) {
+			s.addDisruption("host "+hostB.String(), 10, 12, false)
+			s.addDisruption("store", 10, 12, false)
+			s.resetForSilence(s.openFlow(10, hostA, feedRoute, s.feed, 0), 11)
+		}, "FLOW"},
+		"a reset for silence of another flow while the store is disrupted": {func(s *scenario) {
+			s.addDisruption("store", 10, 12, false)
+			s.openFlow(10, hostA, feedRoute, s.feed, 0).trace.Reset = &dsrworld.Reset{At: second(11), From: hostB, ByHost: true}
+			s.resetForSilence(s.openFlow(20, hostA, feedRoute, s.feed, 0), 21)
+		}, "FLOW"},
+		"a reset for silence of an upstream that is slow and has lossy callers": {func(s *scenario) {
+			s.addDisruption("work of "+s.feed.slot, 10, 12, false)
+			s.addDisruption("caller 127.0.180.1", 10, 12, false)
+			s.resetForSilence(s.openFlow(10, hostA, feedRoute, s.feed, 0), 11)
+		}, "FLOW"},
+		"a reset for silence of an upstream that is cut off": {func(s *scenario) {
+			s.addDisruption(s.feed.slot, 10, 12, false)
+			s.resetForSilence(s.openFlow(10, hostA, feedRoute, s.feed, 0), 11)
+		}, ""},
+		"a reset for silence of an upstream that has ended": {func(s *scenario) {
+			s.feed.ended = second(10.5)
+			s.resetForSilence(s.openFlow(10, hostA, feedRoute, s.feed, 0), 11)
+		}, ""},
 		"a reset by another upstream": {func(s *scenario) {
 			s.openFlow(10, hostA, feedRoute, s.feed, 0).trace.Reset = &dsrworld.Reset{At: second(11), From: s.orders.observed.addr}
 		}, "FLOW"},
