dsr: an upstream that ended after a check is checked at the next retransmission

An accepted connection put off the next check of the upstream until 300 ms after its end, also if the packet that a caller repeated was sent after it. The next check may now begin 200 ms after the last one did, so that a connection which is younger than the packet vouches for it.

TestUpstreamThatEndsAfterCheckIsCheckedAtNextRetransmission failed before.

--- a/internal/dsr/check.go
+++ b/internal/dsr/check.go
@@ -16,11 +16,10 @@
 	// with the first retransmission ends when silenceTimeout is just over.
 	checkInterval = 20 * time.Millisecond
 	checkTime     = silenceTimeout - retransmitTime + 10*time.Millisecond
-	// retransmitTime is the time after which a caller first repeats a packet.
+	// retransmitTime is the time after which a caller first repeats a packet, and the shortest time from one
+	// check of an upstream to the next: an accepted connection that is younger says that the upstream ran after
+	// the packet was sent.
 	retransmitTime = 200 * time.Millisecond
-	// checkPause is the time from the end of a check to the next one of the upstream: the time to the
-	// second retransmission of a caller.
-	checkPause = 300 * time.Millisecond
 	// recheckMin and recheckMax bound the time between two checks of a silent upstream, which doubles.
 	recheckMin = 200 * time.Millisecond
 	recheckMax = time.Second
@@ -258,7 +257,7 @@
 	}
 	delete(c.checks, r.ID)
 	u := k.upstream
-	u.checking, u.nextCheckAt = false, now+checkPause
+	u.checking, u.nextCheckAt = false, r.StartedAt+retransmitTime
 	outcome := k.outcome(&r)
 	if outcome != CheckAccepted && u.reachedAt > k.since || outcome == CheckZoneUnreachable && u.zone.reachedAt > k.since {
 		// Callers have answers to later packets of this host.
--- a/internal/dsr/check_test.go
+++ b/internal/dsr/check_test.go
@@ -175,6 +175,24 @@
 	require.Equal(t, 1, f.network.connections)
 }
 
+// A connection that was accepted before the packet was sent does not put off the check of the packet.
+func TestUpstreamThatEndsAfterCheckIsCheckedAtNextRetransmission(t *testing.T) {
+	f := newFixture(t)
+	c := f.openFlow(streamPort)
+	second := f.openFlowOnSameUpstream(c, streamPort)
+	f.advance(time.Second)
+	c.request()
+	f.advance(200 * time.Millisecond)
+	c.retransmit()
+	f.advance(10 * time.Millisecond)
+	second.request()
+	f.stopUpstream(f.upstream(c))
+	f.advance(200 * time.Millisecond)
+	second.retransmit()
+	f.advance(checkTransit)
+	require.Len(t, f.core.TakeResets(), 2)
+}
+
 // Requests that are not idempotent are not reset, so they cause no checks.
 func TestRetransmissionOfOrderCausesNoCheck(t *testing.T) {
 	f := newFixture(t)
@@ -314,7 +332,7 @@
 			next.Addr = u.Addr
 			f.network.silent = nil
 			f.register(next)
-			f.advance(checkPause)
+			f.advance(retransmitTime)
 			c.retransmit()
 			f.advance(recheckMax)
 			require.Equal(t, Reset, c.retransmit().Action)
--- a/internal/dsr/silence_test.go
+++ b/internal/dsr/silence_test.go
@@ -254,7 +254,7 @@
 	f.runTraffic(400*time.Millisecond, nil)
 	require.Equal(t, Forward, other.retransmit().Action, "the upstream accepts connections")
 	require.Empty(t, f.core.TakeResets())
-	f.runTraffic(checkPause+checkTransit, nil)
+	f.runTraffic(retransmitTime+checkTransit, nil)
 	require.Equal(t, Forward, c.retransmit().Action)
 	f.runTraffic(400*time.Millisecond, u)
 	require.Equal(t, Reset, other.retransmit().Action, "it does not any more")
