dsr: a zone is silent only after a second, and rechecks have controls

- A zone whose links lose 70 or 80 % both ways counted as cut off after one check, and flows of living upstreams were reset.
It takes 200 connections without any answer over a second now, and any answer from the zone ends it.
- A recheck was one connection without controls, so a silence outlived a cut that healed into loss, and a connection that this host could not open counted as evidence.
Rechecks are small checks now; what is inconclusive ends the silence, and evidence of before a pause of the host does not count.
- Answers that callers acknowledge during a check were ignored if the packet was older than the check.
- A single refusal reset all waiting flows; it takes two.
- A control that lost one connection in eight made the check inconclusive, so that dead upstreams were not found behind a loss of a few per cent.
Controls must answer six in ten connections together.
- Zones with fewer than four upstreams, or whose others were silent already, had no controls for the last ones.
- Flows that were reset stayed counted at their upstream for up to a minute.
- A check of a refused connection was given up if a packet of just before had been answered.
- All hosts chose the same controls.

--- a/internal/dsr/apply_test.go
+++ b/internal/dsr/apply_test.go
@@ -38,7 +38,7 @@
 	f.advance(lapseGrace + time.Millisecond)
 	f.confirm()
 	f.stopUpstream(u)
-	c.requireReset(checkTransit)
+	c.requireReset(refusalTime)
 	require.Equal(t, ReasonUpstreamGone, c.last.Reason)
 }
 
@@ -54,7 +54,7 @@
 	f.unregister(draining.Key)
 	require.True(t, u.gone)
 	f.stopUpstream(u)
-	c.requireReset(checkTransit)
+	c.requireReset(refusalTime)
 }
 
 func TestUnregisteredUpstreamThatAnswersKeepsFlows(t *testing.T) {
--- a/internal/dsr/check.go
+++ b/internal/dsr/check.go
@@ -8,43 +8,61 @@
 
 const (
 	// checkAttempts is the number of connections that a check opens to an upstream, controlAttempts to each
-	// control. If the way loses two of three, which is the worst case, all of the upstream's and none of one
-	// control's stay unanswered with a probability of 2 in 10^7.
+	// control.
 	checkAttempts   = 16
 	controlAttempts = checkAttempts / 2
+	// minAnsweredShare is the least share of connections to controls that must be answered. An upstream that runs
+	// leaves all of its connections unanswered then with a probability below 1 in 10^5.
+	minAnsweredShare = 0.6
+	// minRefusals is the number of refusals that show that no process listens. A single one may come from a
+	// connection that something on the way has reset.
+	minRefusals = 2
 	// checkInterval is the time between two attempts of a check, checkTime its length. A check that begins
 	// with the first retransmission ends when silenceTimeout is just over.
 	checkInterval = 20 * time.Millisecond
 	checkTime     = silenceTimeout - retransmitTime + 10*time.Millisecond
+	// zoneControls is the number of controls in the zone of the checked upstream.
+	zoneControls = 4
+	// A zone is unreachable once zoneSilenceAttempts connections to it had no answer over zoneSilenceTime, or
+	// upstreamSilenceAttempts for each of its upstreams if that is less. Loss of four packets in five, both
+	// ways, leads to the former with a probability of 2 in 10^4, loss of one in two to the latter in 10^5.
+	zoneSilenceAttempts     = 200
+	upstreamSilenceAttempts = 40
+	zoneSilenceTime         = time.Second
 	// retransmitTime is the time after which a caller first repeats a packet, and the shortest time from one
 	// check of an upstream to the next: an accepted connection that is younger says that the upstream ran after
 	// the packet was sent.
 	retransmitTime = 200 * time.Millisecond
-	// recheckMin and recheckMax bound the time between two checks of a silent upstream, which doubles.
-	recheckMin = 200 * time.Millisecond
-	recheckMax = time.Second
-	// zoneControls is the number of controls in the zone of the checked upstream. With minZoneControls, a way
-	// that loses four of five leaves all connections to the zone unanswered with a probability of 1 in 10^4.
-	zoneControls    = 4
-	minZoneControls = 3
+	// recheckMin and recheckMax bound the time between two checks of a silent upstream, which doubles. They have
+	// recheckAttempts, each recheckInterval, and recheckControls in the zone.
+	recheckMin      = 200 * time.Millisecond
+	recheckMax      = time.Second
+	recheckAttempts = 6
+	recheckInterval = 40 * time.Millisecond
+	recheckControls = 2
+	// maxSilenceAge is the age up to which the evidence of silence counts: of a host that was paused it is older.
+	maxSilenceAge = checkTime + recheckMax + checkTime + 100*time.Millisecond
 	// controlSample is the largest number of upstreams of a zone that are compared for the controls.
 	controlSample = 64
-	// maxChecks bounds the checks in progress, rechecks of silent upstreams aside: 8 take up to 448 sockets.
-	maxChecks = 8
+	// maxChecks and maxRechecks bound the checks under way of upstreams that are not known to be silent, with up to
+	// 61 sockets each, and of those that are, with up to 18.
+	maxChecks   = 12
+	maxRechecks = 48
 )
 
 // Check asks for connections to an upstream that may be silent and to other upstreams, the controls. A
-// connection that is accepted shows that the upstream runs and is reached, whatever callers' links lose and
-// however long its queue is. One that stays without an answer proves something only while controls answer.
+// connection that is accepted shows that the upstream's machine is reached and a process listens there,
+// whatever callers' links lose and however long the upstream's queue is. One that stays without an answer
+// proves something only while controls answer.
 type Check struct {
 	ID uint64
 	// Target is the address of the upstream, Controls are those of the other ones.
 	Target   netip.AddrPort
 	Controls []netip.AddrPort
 	// Attempts is the number of connections to Target, one each Interval from Delay on. Every second one is
-	// joined by one to each control. The check ends with the first that Target accepts; after the first that it
+	// joined by one to each control. The check ends with the first that Target accepts; after Refusals that it
 	// refuses, each control is tried once more; or Time after the first attempt.
-	Attempts              int
+	Attempts, Refusals    int
 	Delay, Interval, Time time.Duration
 }
 
@@ -65,28 +83,37 @@
 	Failed int
 }
 
-func (a Attempts) accepted() bool { return a.Accepted > 0 }
-
 func (a Attempts) answered() int { return a.Accepted + a.Refused }
 
-// allAnswered reports whether the way to the address loses nothing.
-func (a Attempts) allAnswered() bool {
-	return a.answered() > 0 && a.Unanswered == 0 && a.Failed == 0
+// sum returns the attempts at all of the controls that match.
+func sum(all []Attempts, matches func(Attempts) bool) (s Attempts) {
+	for _, a := range all {
+		if matches(a) {
+			s.Accepted += a.Accepted
+			s.Refused += a.Refused
+			s.Unanswered += a.Unanswered
+			s.Failed += a.Failed
+		}
+	}
+	return s
 }
 
-// noneAnswered reports whether all attempts of a check, of the given number, were without an answer.
-func (a Attempts) noneAnswered(attempts int) bool {
-	return a.Unanswered >= attempts && a.answered() == 0 && a.Failed == 0
-}
+func anyAttempts(Attempts) bool { return true }
 
-func controlSilent(a Attempts) bool { return a.noneAnswered(controlAttempts) }
+func someAnswered(a Attempts) bool { return a.answered() > 0 }
 
-// check is a check in progress.
+// mostAnswered reports whether the way to the addresses loses few connections.
+func (a Attempts) mostAnswered() bool {
+	return a.answered() > 0 && float64(a.answered()) >= minAnsweredShare*float64(a.answered()+a.Unanswered)
+}
+
+// check is a check under way.
 type check struct {
 	upstream *upstream
+	attempts int
 	// since is a time after which a packet was sent that has no answer.
 	since time.Duration
-	// inZone are the controls in the zone of the upstream, elsewhere are those in another zone.
+	// inZone are the controls in the zone of the upstream, elsewhere is one in another zone.
 	inZone, elsewhere []*upstream
 	// again is set for a check of an upstream that is known to be silent.
 	again bool
@@ -102,26 +129,32 @@
 
 // checkUpstream asks for a check of an upstream that has not answered a packet that a caller just repeated.
 func (c *Core) checkUpstream(now time.Duration, u *upstream) {
-	if u.checking || now < u.nextCheckAt || len(c.checks)-c.rechecks >= maxChecks {
+	if u.checkID != 0 || now < u.nextCheckAt || len(c.checks)-c.rechecks >= maxChecks {
 		return
 	}
 	k := &check{upstream: u, since: now - retransmitTime}
-	k.inZone, k.elsewhere = c.controls(u)
+	k.inZone, k.elsewhere = c.controls(u, zoneControls)
 	c.addCheck(k, Check{Attempts: checkAttempts, Interval: checkInterval, Time: checkTime})
 }
 
-// recheck asks for the next check of a silent upstream.
-func (c *Core) recheck(u *upstream) {
+// recheck asks for the next check of a silent upstream, and reports whether there can be one.
+func (c *Core) recheck(now time.Duration, u *upstream) bool {
+	if c.rechecks >= maxRechecks {
+		return false
+	}
 	u.recheckDelay = min(max(2*u.recheckDelay, recheckMin), recheckMax)
+	k := &check{upstream: u, again: true, since: now}
+	k.inZone, k.elsewhere = c.controls(u, recheckControls)
 	c.rechecks++
-	c.addCheck(&check{upstream: u, again: true}, Check{Attempts: 1, Delay: u.recheckDelay, Time: checkTime})
+	c.addCheck(k, Check{Attempts: recheckAttempts, Delay: u.recheckDelay, Interval: recheckInterval, Time: checkTime})
+	return true
 }
 
 func (c *Core) addCheck(k *check, wanted Check) {
-	k.upstream.checking = true
 	c.lastCheck++
+	k.upstream.checkID, k.attempts = c.lastCheck, wanted.Attempts
 	c.checks[c.lastCheck] = k
-	wanted.ID, wanted.Target = c.lastCheck, k.upstream.Addr
+	wanted.ID, wanted.Target, wanted.Refusals = c.lastCheck, k.upstream.Addr, minRefusals
 	for _, controls := range [][]*upstream{k.inZone, k.elsewhere} {
 		for _, u := range controls {
 			wanted.Controls = append(wanted.Controls, u.Addr)
@@ -130,18 +163,18 @@
 	c.wantedChecks = append(c.wantedChecks, wanted)
 }
 
-// controls returns the controls for a check: in the zone of the upstream, and one in another zone, if
-// possible that of this host. Upstreams that have answered last are the likeliest to accept connections.
-func (c *Core) controls(u *upstream) (inZone, elsewhere []*upstream) {
+// controls returns the controls for a check: up to count in the zone of the upstream, and one in another
+// zone, if possible that of this host.
+func (c *Core) controls(u *upstream, count int) (inZone, elsewhere []*upstream) {
 	for _, z := range c.zones {
 		start := int(c.lastCheck) * controlSample
 		for i := range min(len(z.upstreams), controlSample) {
 			v := z.upstreams[(start+i)%len(z.upstreams)]
 			switch {
-			case !v.usable() || v.silentAt != 0 || v.removeAt != 0 || v.Addr == u.Addr:
+			case v.unreadable || v.Addr == u.Addr:
 			case z == u.zone:
-				inZone = insertControl(inZone, v, zoneControls, (*upstream).answeredAfter)
-			default:
+				inZone = insertControl(inZone, v, count, c.isBetterControl)
+			case v.mayAnswer():
 				elsewhere = insertControl(elsewhere, v, 1, c.isBetterElsewhere)
 			}
 		}
@@ -149,17 +182,24 @@
 	return inZone, elsewhere
 }
 
+// mayAnswer reports whether nothing is known of an upstream that speaks against it as a control.
+func (u *upstream) mayAnswer() bool { return u.silentAt == 0 && u.removeAt == 0 }
+
+// isBetterControl orders controls by whether they may answer and by their last answer. Hosts break ties
+// differently, so that they do not all choose the same ones.
+func (c *Core) isBetterControl(u, v *upstream) bool {
+	if may := u.mayAnswer(); may != v.mayAnswer() {
+		return may
+	}
+	return cmp.Or(cmp.Compare(v.lastAnswerAt, u.lastAnswerAt), cmp.Compare(u.rank^c.seed, v.rank^c.seed), cmp.Compare(u.Key, v.Key)) < 0
+}
+
 // isBetterElsewhere orders the controls outside the zone of the checked upstream.
 func (c *Core) isBetterElsewhere(u, v *upstream) bool {
 	if own := u.Zone == c.zone; own != (v.Zone == c.zone) {
 		return own
 	}
-	return u.answeredAfter(v)
-}
-
-// answeredAfter orders upstreams by their last answer, then by rank and key.
-func (u *upstream) answeredAfter(v *upstream) bool {
-	return cmp.Or(cmp.Compare(v.lastAnswerAt, u.lastAnswerAt), cmp.Compare(u.rank, v.rank), cmp.Compare(u.Key, v.Key)) < 0
+	return c.isBetterControl(u, v)
 }
 
 // insertControl inserts an upstream into an ordered list of at most size ones.
@@ -186,28 +226,31 @@
 	CheckAccepted CheckOutcome = iota
 	// CheckRefused means that it refuses them, and others in its zone don't: its process has ended.
 	CheckRefused
+	// CheckZoneRefused means that neither it nor others in its zone accept connections, it refuses them, and
+	// others elsewhere don't.
+	CheckZoneRefused
 	// CheckUnanswered means that it does not answer, and others in its zone do.
 	CheckUnanswered
-	// CheckZoneUnreachable means that neither the upstream nor others in its zone accept connections, and
-	// others do.
-	CheckZoneUnreachable
+	// CheckZoneUnanswered means that neither it nor others in its zone answer, and others elsewhere do.
+	CheckZoneUnanswered
 	// CheckInconclusive means that loss on the way, or this host's own link, explains the result as well.
 	CheckInconclusive
 	checkOutcomeCount
 )
 
-var checkOutcomeNames = [checkOutcomeCount]string{"accepted", "refused", "unanswered", "zone unreachable", "inconclusive"}
+var checkOutcomeNames = [checkOutcomeCount]string{"accepted", "refused", "zone refused", "unanswered", "zone unanswered", "inconclusive"}
 
 // checkFacts are the evidence of the outcomes that show that the upstream is silent.
 var checkFacts = [checkOutcomeCount]string{
-	CheckRefused:         "upstream refused a connection while others in its zone accept them",
-	CheckUnanswered:      "upstream left all connections unanswered while others in its zone answered all",
-	CheckZoneUnreachable: "upstreams of the zone accepted no connection while another zone did",
+	CheckRefused:        "upstream refused connections while others in its zone accept them",
+	CheckZoneRefused:    "upstream refused connections, none in its zone accepted one, and another zone did",
+	CheckUnanswered:     "upstream left all connections unanswered while others in its zone answered",
+	CheckZoneUnanswered: "upstreams of the zone left all connections unanswered while another zone answered",
 }
 
 // CheckOutcomes returns all outcomes.
 func CheckOutcomes() []CheckOutcome {
-	return []CheckOutcome{CheckAccepted, CheckRefused, CheckUnanswered, CheckZoneUnreachable, CheckInconclusive}
+	return []CheckOutcome{CheckAccepted, CheckRefused, CheckZoneRefused, CheckUnanswered, CheckZoneUnanswered, CheckInconclusive}
 }
 
 // String returns the outcome as it appears in logs and metrics.
@@ -215,40 +258,29 @@
 
 // outcome returns what the result of a check says.
 func (k *check) outcome(r *CheckResult) CheckOutcome {
-	inZone, elsewhere := r.Controls[:len(k.inZone)], r.Controls[len(k.inZone):]
+	all, elsewhere := sum(r.Controls[:len(k.inZone)], anyAttempts), sum(r.Controls[len(k.inZone):], anyAttempts)
 	switch {
 	case r.Target.Accepted > 0:
 		return CheckAccepted
-	case r.Target.Refused > 0 && countControls(inZone, Attempts.accepted) > 0:
+	case r.Target.Refused >= minRefusals && all.Accepted > 0:
 		return CheckRefused
-	case r.Target.Refused > 0 && countControls(elsewhere, Attempts.accepted) > 0:
-		return CheckZoneUnreachable
-	case !r.Target.noneAnswered(checkAttempts) || len(inZone) == 0:
+	case r.Target.Refused >= minRefusals && elsewhere.Accepted > 0:
+		return CheckZoneRefused
+	case r.Target.answered() > 0 || r.Target.Unanswered < k.attempts || r.Target.Failed+all.Failed > 0:
 		return CheckInconclusive
-	}
-	answered, silent := countControls(inZone, Attempts.allAnswered), countControls(inZone, controlSilent)
-	switch {
-	case answered+silent < len(inZone):
+	case all.answered() > 0:
+		// A control without any answer may be silent itself.
+		if sum(r.Controls[:len(k.inZone)], someAnswered).mostAnswered() {
+			return CheckUnanswered
+		}
 		return CheckInconclusive
-	case answered > 0:
-		return CheckUnanswered
-	case len(inZone) >= minZoneControls && countControls(elsewhere, Attempts.allAnswered) > 0:
-		return CheckZoneUnreachable
+	case elsewhere.mostAnswered():
+		return CheckZoneUnanswered
 	default:
 		return CheckInconclusive
 	}
 }
 
-func countControls(all []Attempts, matches func(Attempts) bool) int {
-	n := 0
-	for _, a := range all {
-		if matches(a) {
-			n++
-		}
-	}
-	return n
-}
-
 // CheckDone records the result of a check and returns what it says.
 func (c *Core) CheckDone(now time.Duration, r CheckResult) CheckOutcome {
 	k := c.checks[r.ID]
@@ -256,92 +288,167 @@
 		return CheckInconclusive
 	}
 	delete(c.checks, r.ID)
+	if k.again {
+		c.rechecks--
+	}
 	u := k.upstream
-	u.checking, u.nextCheckAt = false, r.StartedAt+retransmitTime
+	if u.checkID != r.ID {
+		return CheckInconclusive
+	}
+	u.checkID, u.nextCheckAt = 0, r.StartedAt+retransmitTime
 	outcome := k.outcome(&r)
-	if outcome != CheckAccepted && u.reachedAt > k.since || outcome == CheckZoneUnreachable && u.zone.reachedAt > k.since {
-		// Callers have answers to later packets of this host.
+	if u.answeredSince(k, &r, outcome) {
 		outcome = CheckInconclusive
 	}
-	if k.again {
-		c.rechecks--
-		c.recheckDone(now, u, outcome, r.StartedAt)
-		return outcome
+	c.observeZone(u.zone, k, &r, outcome)
+	e, silent := c.judge(now, k, &r, outcome)
+	switch {
+	case k.again:
+		c.recheckDone(now, u, silent, r.StartedAt)
+	case silent && outcome == CheckRefused:
+		c.markSilent(now, u, e, r.StartedAt, 0)
+	case silent:
+		c.markSilent(now, u, e, r.StartedAt, silenceTimeout)
+		c.markControlsSilent(now, k, &r, outcome, e)
+	case outcome != CheckAccepted:
+		c.emit(Record{Event: "check of the upstream is inconclusive", Upstream: u.Key, Service: u.Service, Detail: outcome.String(), Considered: len(r.Controls), Age: now - r.StartedAt})
 	}
-	evidence := Evidence{Fact: checkFacts[outcome], Source: SourceCheck, At: r.StartedAt}
+	return outcome
+}
+
+// answeredSince reports whether callers have answers that speak against the outcome of a check: to packets that
+// this host sent after the unanswered one, or, if connections got no answer, any that came during the check.
+func (u *upstream) answeredSince(k *check, r *CheckResult, outcome CheckOutcome) bool {
 	switch outcome {
-	case CheckAccepted:
-		if v, e := c.successorAt(now, u); v != nil {
-			c.markSilent(now, u, e, silenceTimeout)
+	case CheckRefused, CheckZoneRefused:
+		return u.reachedAt > r.StartedAt
+	case CheckUnanswered, CheckZoneUnanswered:
+		return u.reachedAt > k.since || u.lastAnswerAt >= r.StartedAt
+	default:
+		return false
+	}
+}
+
+// observeZone records what a check says of the way to the zone of its upstream.
+func (c *Core) observeZone(z *zone, k *check, r *CheckResult, outcome CheckOutcome) {
+	controls := sum(r.Controls[:len(k.inZone)], anyAttempts)
+	switch {
+	case r.Target.answered()+controls.answered() > 0:
+		c.zoneAnswered(z)
+	case outcome == CheckZoneUnanswered:
+		if z.unanswered == 0 || z.reachedAt > z.unansweredSince {
+			z.unanswered, z.unansweredSince = 0, r.StartedAt
 		}
-	case CheckRefused:
-		c.markSilent(now, u, evidence, 0)
-	case CheckUnanswered:
-		c.markSilent(now, u, evidence, silenceTimeout)
-	case CheckZoneUnreachable:
-		c.markSilent(now, u, evidence, silenceTimeout)
-		for i, v := range k.inZone {
-			if controlSilent(r.Controls[i]) && !v.checking {
-				c.markSilent(now, v, evidence, silenceTimeout)
-			}
+		z.unanswered += r.Target.Unanswered + controls.Unanswered
+	}
+}
+
+// zoneAnswered records that an upstream of the zone has answered. Those that count as silent because the zone
+// did not answer are not known to be any more.
+func (c *Core) zoneAnswered(z *zone) {
+	if z.unanswered == 0 {
+		return
+	}
+	z.unanswered = 0
+	for _, u := range z.upstreams {
+		if u.silentByZone {
+			c.endSilence(u)
 		}
-	case CheckInconclusive:
-		c.emit(Record{Event: "check of the upstream is inconclusive", Upstream: u.Key, Service: u.Service, Considered: len(r.Controls), Age: now - r.StartedAt})
 	}
-	return outcome
 }
 
-// recheckDone handles another check of a silent upstream. Without any open flow there is nothing to decide.
-func (c *Core) recheckDone(now time.Duration, u *upstream, outcome CheckOutcome, startedAt time.Duration) {
-	successor, _ := c.successorAt(now, u)
-	switch {
-	case u.silentAt == 0:
-	case outcome == CheckAccepted && successor == nil:
-		c.endSilence(u)
-	case u.flows == 0:
-		u.silentAt = 0
+// isUnreachable reports whether connections to the zone have had no answer for long enough.
+func (z *zone) isUnreachable(now time.Duration) bool {
+	enough := min(zoneSilenceAttempts, upstreamSilenceAttempts*len(z.upstreams))
+	return z.unanswered >= max(enough, upstreamSilenceAttempts) && now-z.unansweredSince >= zoneSilenceTime
+}
+
+// judge reports whether the upstream of a check is silent, and returns the evidence.
+func (c *Core) judge(now time.Duration, k *check, r *CheckResult, outcome CheckOutcome) (Evidence, bool) {
+	u := k.upstream
+	e := Evidence{Fact: checkFacts[outcome], Source: SourceCheck, At: r.StartedAt}
+	switch outcome {
+	case CheckAccepted:
+		return c.successorAt(now, u)
+	case CheckRefused, CheckZoneRefused, CheckUnanswered:
+		return e, true
+	case CheckZoneUnanswered:
+		return e, u.gone || u.silentAt != 0 || u.zone.isUnreachable(now)
 	default:
-		u.silentAt, u.silentBy.At = now, startedAt
-		c.resetWaitingFlows(now, u, silenceTimeout)
-		c.recheck(u)
+		return Evidence{}, false
 	}
 }
 
-// successorAt returns the upstream that accepts connections at the address of the given one in its place,
-// with the evidence, or nil. A process answers only packets with its own identity, so if one that started
-// later has answered since, the given one has ended. If that lacks an answer to a check, or its
-// registration, the entry of the later one is enough.
-func (c *Core) successorAt(now time.Duration, u *upstream) (*upstream, Evidence) {
+// successorAt reports whether another upstream accepts connections at the address in place of the given one, and
+// returns the evidence. A process answers only packets with its own identity, so if one that started later has
+// answered since, the given one has ended. If that lacks an answer to a check, or its registration, the
+// entry of the later one is enough.
+func (c *Core) successorAt(now time.Duration, u *upstream) (Evidence, bool) {
 	ended := u.silentAt != 0 || u.gone || u.removeAt != 0 && !u.lost
 	for _, v := range c.byAddress[u.Addr] {
 		switch {
 		case v.ID == u.ID || v.Incarnation <= u.Incarnation || v.unreadable || !c.declared[v.Service]:
 		case v.reachedAt > u.reachedAt:
-			return v, flowEvidence("another upstream answers at the address", v.reachedAt)
+			return flowEvidence("another upstream answers at the address", v.reachedAt), true
 		case ended:
-			return v, directoryEvidence(netip.AddrPort{}, "an upstream that started later is registered at the address", v.Position(), now)
+			return directoryEvidence(netip.AddrPort{}, "an upstream that started later is registered at the address", v.Position(), now), true
+		}
+	}
+	return Evidence{}, false
+}
+
+// recheckDone handles another check of a silent upstream. Without an open flow there is nothing to decide.
+func (c *Core) recheckDone(now time.Duration, u *upstream, silent bool, startedAt time.Duration) {
+	switch {
+	case u.silentAt == 0:
+	case !silent:
+		c.endSilence(u)
+	case u.flows == 0:
+		u.silentAt, u.silentByZone = 0, false
+	default:
+		u.silentAt, u.silentBy.At = startedAt, startedAt
+		c.resetWaitingFlows(now, u, silenceTimeout)
+		if !c.recheck(now, u) {
+			c.endSilence(u)
 		}
 	}
-	return nil, Evidence{}
 }
 
-// markSilent records that an upstream does not answer this host, and resets the flows that have waited for
-// it for at least the given time.
-func (c *Core) markSilent(now time.Duration, u *upstream, e Evidence, waited time.Duration) {
-	u.silentAt, u.silentBy, u.recheckDelay = now, e, 0
+// markSilent records that an upstream does not answer this host, by a check that began at the given time, and
+// resets the flows that have waited for it for at least the time waited.
+func (c *Core) markSilent(now time.Duration, u *upstream, e Evidence, startedAt, waited time.Duration) {
+	u.silentAt, u.silentBy, u.recheckDelay = startedAt, e, 0
 	u.backoff.extend(now, e.At)
 	rec := Record{Event: "upstream is silent", Upstream: u.Key, Service: u.Service, Open: u.flows}
 	rec.addEvidence(now, e)
 	c.emit(rec)
 	c.resetWaitingFlows(now, u, waited)
-	c.recheck(u)
+	if !c.recheck(now, u) {
+		c.endSilence(u)
+	}
+}
+
+// markControlsSilent records what a check of an upstream in an unreachable zone says of its controls there.
+func (c *Core) markControlsSilent(now time.Duration, k *check, r *CheckResult, outcome CheckOutcome, e Evidence) {
+	if outcome != CheckZoneUnanswered || !k.upstream.zone.isUnreachable(now) {
+		return
+	}
+	k.upstream.silentByZone = k.upstream.silentAt != 0
+	for _, v := range k.inZone {
+		if v.gone || v.silentAt != 0 || v.checkID != 0 || v.lastAnswerAt >= r.StartedAt {
+			continue
+		}
+		c.markSilent(now, v, e, r.StartedAt, silenceTimeout)
+		v.silentByZone = v.silentAt != 0
+	}
 }
 
+// endSilence records that an upstream is not known to be silent any more.
 func (c *Core) endSilence(u *upstream) {
 	if u.silentAt == 0 {
 		return
 	}
-	u.silentAt = 0
+	u.silentAt, u.silentByZone, u.checkID = 0, false, 0
 	c.emit(Record{Event: "upstream is no longer silent", Upstream: u.Key, Service: u.Service})
 }
 
@@ -349,7 +456,7 @@
 // request is idempotent, so that its caller repeats it elsewhere; or the upstream is gone as well.
 func (f *flow) waitsInVain(now time.Duration) bool {
 	u := f.upstream
-	if u.silentAt == 0 || !f.pending || f.phase == phaseClosed {
+	if u.silentAt == 0 || now-u.silentAt > maxSilenceAge || !f.pending || f.phase == phaseClosed && f.resetAt == 0 {
 		return false
 	}
 	return f.route != nil && f.route.Idempotent || u.gone && now-f.progressAt >= silenceTimeout
@@ -368,12 +475,16 @@
 // flow would lead to a reset.
 func (c *Core) resetWaitingFlows(now time.Duration, u *upstream, waited time.Duration) {
 	for f := c.cache.lru.First(); f != nil; f = f.lruLinks.Next() {
-		if f.upstream != u || f.wasReset || now-f.progressAt < waited || now-f.seenAt > resetMaxAge || !f.waitsInVain(now) {
+		if f.upstream != u || now-f.progressAt < waited || now-f.seenAt > resetMaxAge || !f.waitsInVain(now) {
+			continue
+		}
+		if f.resetAt != 0 && f.seenAt <= f.resetAt {
 			continue
 		}
-		f.wasReset = true
 		p := Packet{Caller: f.key.caller, Service: f.key.service, Ack: f.lastAck, Token: u.token}
 		c.emitReset(now, &p, u, u.silenceReason(), u.silentBy, now-f.progressAt)
 		c.resets = append(c.resets, p)
+		c.cache.setPhase(now, f, phaseClosed)
+		f.resetAt = now
 	}
 }
--- a/internal/dsr/check_test.go
+++ b/internal/dsr/check_test.go
@@ -33,7 +33,11 @@
 	run func()
 }
 
-const checkTransit = 3 * time.Millisecond
+const (
+	checkTransit = 3 * time.Millisecond
+	// refusalTime is the length of a check of an upstream that refuses connections.
+	refusalTime = checkInterval + checkTransit
+)
 
 // connect adds the result of one connection.
 func (n *checkNetwork) connect(a *Attempts, addr netip.AddrPort) {
@@ -61,12 +65,13 @@
 	r := CheckResult{ID: ch.ID, StartedAt: f.now, Controls: make([]Attempts, len(ch.Controls))}
 	for i := range ch.Attempts {
 		f.network.connect(&r.Target, ch.Target)
-		if i%2 == 1 || r.Target.Refused > 0 {
+		refused := r.Target.Refused >= ch.Refusals
+		if i%2 == 1 || refused {
 			for j, control := range ch.Controls {
 				f.network.connect(&r.Controls[j], control)
 			}
 		}
-		if r.Target.answered() > 0 {
+		if refused || r.Target.Accepted > 0 {
 			at = f.now + time.Duration(i)*ch.Interval + checkTransit
 			break
 		}
@@ -116,8 +121,9 @@
 // Each result of connections, and what it says of the upstream.
 func TestCheckOutcome(t *testing.T) {
 	accepted, refused := Attempts{Accepted: controlAttempts}, Attempts{Refused: controlAttempts}
-	none, partial := Attempts{Unanswered: controlAttempts}, Attempts{Accepted: 3, Unanswered: controlAttempts - 3}
-	target := Attempts{Unanswered: checkAttempts}
+	none, lossy := Attempts{Unanswered: controlAttempts}, Attempts{Accepted: 3, Unanswered: controlAttempts - 3}
+	few := Attempts{Accepted: controlAttempts - 2, Unanswered: 2}
+	target, gone := Attempts{Unanswered: checkAttempts}, Attempts{Refused: minRefusals}
 	for _, tc := range []struct {
 		name              string
 		target            Attempts
@@ -125,28 +131,30 @@
 		want              CheckOutcome
 	}{
 		{"accepted at last", Attempts{Unanswered: checkAttempts - 1, Accepted: 1}, []Attempts{none}, []Attempts{accepted}, CheckAccepted},
-		{"refused", Attempts{Refused: 1}, []Attempts{{Accepted: 1}}, nil, CheckRefused},
-		{"refused, after loss", Attempts{Unanswered: 2, Refused: 1}, []Attempts{partial}, nil, CheckRefused},
-		{"refused, no control in the zone", Attempts{Refused: 1}, nil, []Attempts{accepted}, CheckZoneUnreachable},
-		{"refused behind a cut that refuses", Attempts{Refused: 1}, []Attempts{{Refused: 1}, {Refused: 1}}, []Attempts{{Accepted: 1}}, CheckZoneUnreachable},
-		{"refused, as by all", Attempts{Refused: 1}, []Attempts{{Refused: 1}}, []Attempts{{Refused: 1}}, CheckInconclusive},
-		{"refused, no control", Attempts{Refused: 1}, nil, nil, CheckInconclusive},
+		{"accepted after a refusal", Attempts{Refused: 1, Accepted: 1}, []Attempts{accepted}, nil, CheckAccepted},
+		{"refused", gone, []Attempts{{Accepted: 1}}, nil, CheckRefused},
+		{"refused once", Attempts{Refused: 1, Unanswered: checkAttempts - 1}, []Attempts{accepted}, nil, CheckInconclusive},
+		{"refused, after loss", Attempts{Unanswered: 2, Refused: minRefusals}, []Attempts{lossy}, nil, CheckRefused},
+		{"refused, no control in the zone", gone, nil, []Attempts{accepted}, CheckZoneRefused},
+		{"refused behind a cut that refuses", gone, []Attempts{{Refused: 1}, {Refused: 1}}, []Attempts{{Accepted: 1}}, CheckZoneRefused},
+		{"refused, as by all", gone, []Attempts{{Refused: 1}}, []Attempts{{Refused: 1}}, CheckInconclusive},
+		{"refused, no control", gone, nil, nil, CheckInconclusive},
 		{"unanswered", target, []Attempts{accepted, accepted}, []Attempts{accepted}, CheckUnanswered},
 		{"unanswered, as by a control that is dead too", target, []Attempts{accepted, none}, nil, CheckUnanswered},
 		{"unanswered beside ended ones", target, []Attempts{refused}, []Attempts{accepted}, CheckUnanswered},
-		{"unanswered, lossy way to the zone", target, []Attempts{accepted, partial}, []Attempts{accepted}, CheckInconclusive},
-		{"zone unanswered", target, []Attempts{none, none, none}, []Attempts{accepted}, CheckZoneUnreachable},
-		{"zone unanswered, too few controls", target, []Attempts{none, none}, []Attempts{accepted}, CheckInconclusive},
-		{"zone unanswered, lossy way to another zone", target, []Attempts{none, none, none}, []Attempts{partial}, CheckInconclusive},
+		{"unanswered, few losses on the way to the zone", target, []Attempts{accepted, few}, nil, CheckUnanswered},
+		{"unanswered, lossy way to the zone", target, []Attempts{lossy, lossy, accepted}, []Attempts{accepted}, CheckInconclusive},
+		{"zone unanswered", target, []Attempts{none, none, none}, []Attempts{accepted}, CheckZoneUnanswered},
+		{"alone in its zone", target, nil, []Attempts{accepted}, CheckZoneUnanswered},
+		{"zone unanswered, lossy way to another zone", target, []Attempts{none, none, none}, []Attempts{lossy}, CheckInconclusive},
 		{"own link", target, []Attempts{none, none, none}, []Attempts{none}, CheckInconclusive},
-		{"no control in the zone", target, nil, []Attempts{accepted}, CheckInconclusive},
 		{"no control elsewhere", target, []Attempts{none}, nil, CheckInconclusive},
 		{"check that was cut short", Attempts{Unanswered: checkAttempts - 1}, []Attempts{accepted}, nil, CheckInconclusive},
-		{"attempts that failed on this host", Attempts{Unanswered: checkAttempts - 1, Failed: 1}, []Attempts{accepted}, nil, CheckInconclusive},
+		{"attempts that failed on this host", Attempts{Unanswered: checkAttempts, Failed: 1}, []Attempts{accepted}, nil, CheckInconclusive},
 		{"control that failed on this host", target, []Attempts{{Accepted: controlAttempts - 1, Failed: 1}}, nil, CheckInconclusive},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			k := &check{inZone: make([]*upstream, len(tc.inZone)), elsewhere: make([]*upstream, len(tc.elsewhere))}
+			k := &check{attempts: checkAttempts, inZone: make([]*upstream, len(tc.inZone)), elsewhere: make([]*upstream, len(tc.elsewhere))}
 			r := &CheckResult{Target: tc.target, Controls: append(slices.Clone(tc.inZone), tc.elsewhere...)}
 			require.Equal(t, tc.want, k.outcome(r))
 		})
@@ -160,7 +168,7 @@
 	for i, key := range []string{"u4", "u1", "u2", "u5"} {
 		f.core.byKey[key].lastAnswerAt = f.now + time.Duration(i)
 	}
-	inZone, elsewhere := f.core.controls(u)
+	inZone, elsewhere := f.core.controls(u, zoneControls)
 	require.Equal(t, []*upstream{f.core.byKey["u4"]}, inZone)
 	require.Equal(t, []*upstream{f.core.byKey["u2"]}, elsewhere, "the host's own zone is preferred")
 
@@ -168,7 +176,7 @@
 		f.register(testUpstream(n, "orders", "b"))
 	}
 	f.core.byKey["u8"].lastAnswerAt = f.now + 10
-	inZone, _ = f.core.controls(u)
+	inZone, _ = f.core.controls(u, zoneControls)
 	require.Len(t, inZone, zoneControls)
 	require.Equal(t, []*upstream{f.core.byKey["u8"], f.core.byKey["u4"]}, inZone[:2])
 }
@@ -201,7 +209,7 @@
 	f.stopUpstream(f.upstream(c))
 	f.advance(200 * time.Millisecond)
 	second.retransmit()
-	f.advance(checkTransit)
+	f.advance(refusalTime)
 	require.Len(t, f.core.TakeResets(), 2)
 }
 
@@ -225,7 +233,7 @@
 	c.request()
 	f.advance(200 * time.Millisecond)
 	require.Equal(t, Forward, c.retransmit().Action)
-	f.advance(checkTransit)
+	f.advance(refusalTime)
 	require.Len(t, f.core.TakeResets(), 1)
 	require.Equal(t, Reset, c.retransmit().Action)
 	require.Equal(t, ReasonUpstreamSilent, c.last.Reason)
@@ -246,31 +254,42 @@
 	}
 }
 
-// A zone that is cut off: all its upstreams are silent by one check.
+// A zone that is cut off is silent once enough connections to it had no answer for long enough, with the controls
+// of the check. One upstream that is reached again speaks for the others.
 func TestZoneThatIsCutOffIsSilent(t *testing.T) {
 	f := newFixture(t)
 	f.network.silent = make(map[netip.AddrPort]bool)
 	f.register(testUpstream(7, "feed", "b"), testUpstream(8, "feed", "b"))
-	var c, other *caller
-	for c == nil || other == nil {
-		n := f.openFlow(streamPort)
-		switch u := f.upstream(n); {
-		case u.Key == "u3":
-			c = n
-		case u.Key == "u4":
-			other = n
-		}
+	flows := make(map[string]*caller)
+	for len(flows) < 6 {
+		c := f.openFlow(streamPort)
+		flows[f.upstream(c).Key] = c
 	}
 	for _, key := range []string{"u3", "u4", "u7", "u8"} {
 		f.network.silent[f.core.byKey[key].Addr] = true
 	}
+	c, other := flows["u3"], flows["u4"]
 	f.advance(time.Second)
 	c.request()
-	f.advance(200 * time.Millisecond)
-	c.retransmit()
+	began := f.now
+	for _, pause := range []time.Duration{200, 400, 800} {
+		f.advance(pause * time.Millisecond)
+		require.Equal(t, Forward, c.retransmit().Action)
+		require.Equal(t, Forward, other.request().Action)
+		other.seq -= 300
+	}
 	f.advance(checkTime)
-	require.Len(t, f.core.TakeResets(), 1)
-	require.Equal(t, Reset, other.request().Action)
+	require.Len(t, f.core.TakeResets(), 2)
+	require.Less(t, f.now-began, 2*time.Second)
+	require.True(t, f.core.byKey["u7"].suspect(f.now), "a control")
+	require.Equal(t, Reset, other.retransmit().Action)
+
+	f.network.silent[f.core.byKey["u7"].Addr] = false
+	f.openFlowOnSameUpstream(other, orderPort)
+	f.advance(recheckMax + checkTime)
+	for _, key := range []string{"u3", "u4", "u7", "u8"} {
+		require.Zero(t, f.core.byKey[key].silentAt, key)
+	}
 }
 
 // In a cut from the upstream to this host only, callers have answers.
--- a/internal/dsr/confirm_test.go
+++ b/internal/dsr/confirm_test.go
@@ -204,7 +204,7 @@
 	require.False(t, u.gone)
 	f.core.PeerAnswered(f.now, otherHost, 0)
 	f.stopUpstream(u)
-	c.requireReset(checkTransit)
+	c.requireReset(refusalTime)
 	require.True(t, u.gone)
 }
 
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -88,8 +88,8 @@
 
 	// header is the header of the current packet.
 	header Packet
-	// rotation varies where the search for an upstream starts, which breaks ties.
-	rotation uint64
+	// rotation varies where the search for an upstream starts, which breaks ties. seed differs between hosts.
+	rotation, seed uint64
 
 	// checks holds the checks in progress by identifier, rechecks is the number of those of silent upstreams.
 	checks       map[uint64]*check
@@ -109,6 +109,7 @@
 	return &Core{
 		zone:          zoneName,
 		rotation:      seed,
+		seed:          seed,
 		format:        format,
 		cache:         newFlowCache(),
 		byKey:         make(map[string]*upstream),
--- a/internal/dsr/evidence_test.go
+++ b/internal/dsr/evidence_test.go
@@ -132,7 +132,7 @@
 				f.confirm()
 				retransmit(f, c)
 			},
-			want: Record{Detail: "upstream gone", Evidence: "upstream refused a connection while others in its zone accept them", Source: SourceCheck, Age: unanswered - 200*time.Millisecond - checkTransit - recheckMin, Unanswered: unanswered},
+			want: Record{Detail: "upstream gone", Evidence: "upstream refused connections while others in its zone accept them", Source: SourceCheck, Age: unanswered - 200*time.Millisecond - refusalTime - recheckMin, Unanswered: unanswered},
 		},
 		{
 			name: "upstream does not answer connections", event: "flow reset",
@@ -141,7 +141,7 @@
 				f.network.silent = map[netip.AddrPort]bool{f.upstream(c).Addr: true}
 				retransmit(f, c)
 			},
-			want: Record{Detail: "upstream silent", Evidence: "upstream left all connections unanswered while others in its zone answered all", Source: SourceCheck, Age: unanswered - 200*time.Millisecond, Unanswered: unanswered},
+			want: Record{Detail: "upstream silent", Evidence: "upstream left all connections unanswered while others in its zone answered", Source: SourceCheck, Age: unanswered - 200*time.Millisecond, Unanswered: unanswered},
 		},
 		{
 			name: "unknown token", event: "flow reset",
--- a/internal/dsr/flows.go
+++ b/internal/dsr/flows.go
@@ -74,8 +74,9 @@
 	unqueued bool
 	// pending is set while a request has no answer, also after phaseBusy.
 	pending bool
-	// wasReset is set once the flow was reset without a packet of its own.
-	wasReset bool
+	// resetAt is when the flow was reset without a packet of its own; zero is never. It no longer counts at its
+	// upstream then.
+	resetAt time.Duration
 
 	lruLinks, phaseLinks list.Links[flow]
 	// nextFree is the next flow of the free list.
--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -46,7 +46,11 @@
 	if p.HasAck && int32(p.Ack-f.lastAck) > 0 {
 		f.lastAck = p.Ack
 		c.onAnswer(now, f.progressAt, u)
-		f.progressAt, f.pending, f.wasReset = now, false, false
+		f.progressAt, f.pending = now, false
+		if f.resetAt != 0 {
+			f.resetAt = 0
+			c.cache.setPhase(now, f, phaseIdle)
+		}
 		if f.phase == phaseBusy {
 			f.answered = true
 			c.addLatencySample(now, f, now-f.busyAt)
--- a/internal/dsr/restore_test.go
+++ b/internal/dsr/restore_test.go
@@ -90,7 +90,7 @@
 	f.advance(2 * time.Second)
 	f.confirm()
 	f.stopUpstream(u)
-	c.requireReset(checkTransit)
+	c.requireReset(refusalTime)
 	require.Equal(t, ReasonUpstreamGone, c.last.Reason, "still missing, and silent")
 }
 
--- a/internal/dsr/returned_test.go
+++ b/internal/dsr/returned_test.go
@@ -22,7 +22,7 @@
 	require.True(t, u.gone)
 	f.advance(time.Second)
 	f.stopUpstream(u)
-	c.requireReset(checkTransit)
+	c.requireReset(refusalTime)
 	f.network.refusing = nil
 	f.register(u.Upstream)
 	require.Equal(t, Forward, c.retransmit().Action)
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -61,13 +61,15 @@
 	// packet was sent that it is known to have answered.
 	lastAnswerAt, reachedAt time.Duration
 	backoff                 backoff
-	// silentAt is when a check last found that the upstream does not answer, silentBy its evidence; zero if
-	// it has answered since. recheckDelay is the time to the next check.
+	// silentAt is when the last check began, if it found that the upstream does not answer, silentBy its
+	// evidence; zero if not, or if it has answered since. silentByZone is set if the check found that of its zone. recheckDelay is the
+	// time to the next check.
 	silentAt     time.Duration
 	silentBy     Evidence
+	silentByZone bool
 	recheckDelay time.Duration
-	// checking is set while a check is wanted or in progress. The next one may begin at nextCheckAt.
-	checking    bool
+	// checkID is the check that is wanted or under way; zero is none. The next one may begin at nextCheckAt.
+	checkID     uint64
 	nextCheckAt time.Duration
 	// latency is the mean time from request to answer, in seconds; zero is unknown.
 	latency   float64
@@ -118,6 +120,10 @@
 	// firstTimedOut is the first upstream with a handshake timeout since the last answer of the
 	// zone. A timeout at a second upstream puts the zone into backoff.
 	firstTimedOut *upstream
+	// unanswered is the number of connections of checks without an answer since unansweredSince, if there
+	// was no answer meanwhile.
+	unanswered      int
+	unansweredSince time.Duration
 }
 
 func (z *zone) add(u *upstream) {
@@ -203,6 +209,9 @@
 	z := u.zone
 	z.reachedAt = max(z.reachedAt, sent)
 	z.firstTimedOut = nil
+	if sent > z.unansweredSince {
+		c.zoneAnswered(z)
+	}
 	if z.backoff.clear(sent) {
 		c.emit(Record{Event: "availability zone answers again", Detail: z.name})
 	}
--- a/internal/dsrhost/check.go
+++ b/internal/dsrhost/check.go
@@ -64,7 +64,7 @@
 		}
 	}
 	connect(targetIndex, ch.Target)
-	begun, refused := 1, false
+	begun := 1
 	var next <-chan time.Time
 	if ch.Attempts > 1 {
 		ticker := time.NewTicker(ch.Interval)
@@ -98,8 +98,8 @@
 			case a.target != targetIndex:
 			case a.result == connectAccepted:
 				return r
-			case a.result == connectRefused && !refused:
-				next, refused = nil, true
+			case a.result == connectRefused && r.Target.Refused == ch.Refusals:
+				next = nil
 				connectControls()
 			}
 		}
--- a/internal/dsrhost/check_test.go
+++ b/internal/dsrhost/check_test.go
@@ -65,7 +65,7 @@
 }
 
 func testCheck(target netip.AddrPort, controls ...netip.AddrPort) *dsr.Check {
-	return &dsr.Check{ID: 7, Target: target, Controls: controls, Attempts: 4, Interval: 20 * time.Millisecond, Time: 300 * time.Millisecond}
+	return &dsr.Check{ID: 7, Target: target, Controls: controls, Attempts: 4, Refusals: 2, Interval: 20 * time.Millisecond, Time: 300 * time.Millisecond}
 }
 
 func TestCheckOfAcceptingUpstreamIsOneConnection(t *testing.T) {
@@ -80,11 +80,11 @@
 	require.Zero(t, control.accepted.Load())
 }
 
-func TestCheckOfRefusingUpstreamAsksControlsOnce(t *testing.T) {
+func TestCheckOfRefusingUpstreamEndsWithItsSecondRefusal(t *testing.T) {
 	k := newChecker(func() time.Duration { return 0 })
 	r := k.carryOut(t.Context(), testCheck(refusingAddress(t), acceptingAddress(t).address, refusingAddress(t)))
-	require.Equal(t, dsr.Attempts{Refused: 1}, r.Target)
-	require.Equal(t, []dsr.Attempts{{Accepted: 1}, {Refused: 1}}, r.Controls)
+	require.Equal(t, dsr.Attempts{Refused: 2}, r.Target)
+	require.Equal(t, []dsr.Attempts{{Accepted: 2}, {Refused: 2}}, r.Controls, "with the second attempt, and after the refusals")
 }
 
 func TestCheckOfSilentUpstreamUsesAllAttempts(t *testing.T) {
@@ -115,13 +115,18 @@
 	require.Equal(t, connectFailed, connectOnce(ctx, silentAddress(t)))
 }
 
+// A check that is wanted or under way when the host stops ends at once.
 func TestCheckEndsWithItsContext(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	k := newChecker(func() time.Duration { return 0 })
-	ch := testCheck(silentAddress(t))
+	ch := testCheck(silentAddress(t), acceptingAddress(t).address)
+	ch.Attempts, ch.Time = 100, time.Minute
 	k.start(ctx, *ch)
 	ch.Delay = time.Hour
 	k.start(ctx, *ch)
+	time.Sleep(2 * ch.Interval)
 	cancel()
+	began := time.Now()
 	k.wait()
+	require.Less(t, time.Since(began), 10*time.Second)
 }
