dsr: copies of a SYN carry the token of their upstream again

Callers saw a request without an answer, on a flow that was opened by a copy of its SYN, if its next packets came through other hosts: these dropped packets with a provisional token. Any packet may reach any host, so a flow must not depend on the one that forwarded its SYN.

--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -163,7 +163,7 @@
 	}
 	// An incarnation that has left after draining doesn't come back: the entry is from the copy of
 	// a restored store.
-	if known := c.incarnation(d); known != nil && known.gone && known.Key == d.Key && known.Draining && known.Era < d.Era {
+	if known := c.tokens[TokenOf(d.ID, d.Incarnation)]; known != nil && known.gone && known.Key == d.Key && known.Draining && known.Era < d.Era {
 		d.Draining = true
 	}
 	n := &upstream{Upstream: *d, token: TokenOf(d.ID, d.Incarnation), zone: c.zoneOf(d.Zone), service: c.serviceOf(d.Service), rank: xxhash.Sum64String(d.Key)}
@@ -190,25 +190,16 @@
 	if d.Incarnation == u.Incarnation {
 		return d.Sequence < u.Sequence && d.Addr == u.Addr && d.Service == u.Service
 	}
-	ended := c.incarnation(d)
+	ended := c.tokens[TokenOf(d.ID, d.Incarnation)]
 	return ended != nil && ended.gone && ended.Key == d.Key && !ended.hasSameEndpoint(u) && u.lastAnswerAt > ended.goneAt
 }
 
 // hasLeft reports whether a registration is an earlier one of an upstream that has left after draining.
 func (c *Core) hasLeft(d *directory.Upstream) bool {
-	known := c.incarnation(d)
+	known := c.tokens[TokenOf(d.ID, d.Incarnation)]
 	return known != nil && known.gone && known.Key == d.Key && known.Draining && known.Era == d.Era && d.Sequence < known.Sequence
 }
 
-// incarnation returns the upstream with the token of a registration, or nil.
-func (c *Core) incarnation(d *directory.Upstream) *upstream {
-	t := TokenOf(d.ID, d.Incarnation)
-	if u := c.tokens[t.index()]; u != nil && u.token == t {
-		return u
-	}
-	return nil
-}
-
 // setUnreadable handles a registration that names no upstream: of another writer, which may have
 // overwritten that of the upstream. The upstream keeps its open flows. If an unknown service is
 // the reason, the registration is kept until a configuration declares the service.
@@ -256,15 +247,15 @@
 	s.sharesStale = true
 	u.zone.add(u)
 	c.byAddress[u.Addr] = append(c.byAddress[u.Addr], u)
-	other := c.tokens[u.token.index()]
+	other := c.tokens[u.token]
 	if other == nil || other.gone {
-		c.tokens[u.token.index()] = u
+		c.tokens[u.token] = u
 		return
 	}
 	other.tokenShared, u.tokenShared = true, true
 	c.emit(Record{Event: "token shared by two upstreams", Upstream: u.Key, Service: u.Service, Token: u.token, Detail: other.Key})
 	if u.startedBefore(other) {
-		c.tokens[u.token.index()] = u
+		c.tokens[u.token] = u
 	}
 }
 
@@ -292,14 +283,14 @@
 	}
 	var sharers []*upstream
 	for _, v := range c.byKey {
-		if v.token.index() == u.token.index() {
+		if v.token == u.token {
 			sharers = append(sharers, v)
 		}
 	}
 	for _, v := range sharers {
 		v.tokenShared = len(sharers) > 1
-		if owner := c.tokens[v.token.index()]; owner.gone || v.startedBefore(owner) {
-			c.tokens[v.token.index()] = v
+		if owner := c.tokens[v.token]; owner.gone || v.startedBefore(owner) {
+			c.tokens[v.token] = v
 		}
 	}
 }
@@ -326,8 +317,8 @@
 	for len(c.goneList) > 0 && now-c.goneList[0].goneAt > goneRetention {
 		u := c.goneList[0]
 		c.goneList = c.goneList[1:]
-		if c.tokens[u.token.index()] == u {
-			delete(c.tokens, u.token.index())
+		if c.tokens[u.token] == u {
+			delete(c.tokens, u.token)
 		}
 	}
 }
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -40,8 +40,7 @@
 
 	byKey map[string]*upstream
 	// byAddress holds the upstreams that are not gone. One that ended may still have the address of another one.
-	byAddress map[netip.AddrPort][]*upstream
-	// tokens holds the upstreams by the index of their tokens.
+	byAddress   map[netip.AddrPort][]*upstream
 	tokens      map[Token]*upstream
 	services    map[string]*service
 	zones       map[string]*zone
@@ -236,7 +235,7 @@
 		}
 		f.synRetransmits++
 		if c.keepsUpstream(now, f) {
-			return c.forwardSYN(p, f.upstream, ReasonSYNRetransmit)
+			return c.forwardTo(f.upstream, ReasonSYNRetransmit)
 		}
 		reason, moved = ReasonMoved, f.moveEvidence(now)
 	}
@@ -268,7 +267,7 @@
 	c.cache.touch(now, f)
 	c.cache.setPhase(now, f, phaseOpening)
 	c.emitOpening("flow opened", now, p, r, choice, reason)
-	return c.forwardSYN(p, choice.upstream, reason)
+	return c.forwardTo(choice.upstream, reason)
 }
 
 // handleNotPlaced decides on a SYN for which there is no upstream. If all are at their limits, the
@@ -293,7 +292,9 @@
 	return f.openedAt != 0 && p.Seq == f.synSeq && now-f.openedAt <= attemptTime
 }
 
-// keepsUpstream reports whether a retransmitted SYN goes to the upstream of the first one.
+// keepsUpstream reports whether a retransmitted SYN goes to the upstream of the first one. A second
+// upstream is tried only when needed: if both answer, the caller keeps the token of the later
+// answer.
 func (c *Core) keepsUpstream(now time.Duration, f *flow) bool {
 	u := f.upstream
 	switch {
@@ -327,16 +328,6 @@
 	return Effect{Action: Forward, Reason: reason, To: u.Addr, ID: u.ID, Token: u.token}
 }
 
-// forwardSYN forwards a SYN. A retransmission carries the provisional token, since another upstream may
-// answer the first SYN. The upstream gets its token with the packet that opens the flow there.
-func (c *Core) forwardSYN(p *Packet, u *upstream, reason Reason) Effect {
-	e := c.forwardTo(u, reason)
-	if p.SYNRetransmits > 0 {
-		e.Token = u.token.provisional()
-	}
-	return e
-}
-
 // routePacket decides on a packet other than a SYN.
 func (c *Core) routePacket(now time.Duration, p *Packet) Effect {
 	if p.Token == 0 {
@@ -344,8 +335,7 @@
 	}
 	key := flowKey{p.Caller, p.Service}
 	f := c.cache.flows[key]
-	u := c.tokens[p.Token.index()]
-	provisional := u != nil && p.Token != u.token
+	u := c.tokens[p.Token]
 	if f != nil && !f.upstream.gone && (f.upstream.token == p.Token || f.continuedBy(p)) {
 		u = f.upstream
 	}
@@ -355,9 +345,6 @@
 	for u.gone && u.replacedBy != nil && u.replacedBy.hasSameEndpoint(u) {
 		u = u.replacedBy
 	}
-	if provisional && (f == nil || !f.mayBeOpenAt(now, u)) {
-		return Effect{Action: Drop, Reason: ReasonProvisionalToken}
-	}
 	if c.configured && c.routes[p.Service] == nil {
 		if now < c.storeSettledAt {
 			// The configuration of a host that just started may be the older one of a restored store.
--- a/internal/dsr/dsr.go
+++ b/internal/dsr/dsr.go
@@ -1,8 +1,7 @@
 // Package dsr is the routing core of a host whose upstreams answer callers directly (direct server
 // return), so that the host sees only the packets that callers send. A new flow is assigned an
 // upstream and a token that identifies the upstream. Both ends of the flow echo the token, so that
-// any host can route the later packets without a flow table. A copy of a SYN, which a second upstream may
-// answer, carries a provisional token, by which only hosts that have the flow route.
+// any host can route the later packets without a flow table.
 //
 // The core infers the state of upstreams from the packets of callers: handshakes that are not
 // completed, requests in progress and acknowledged answers. This state is a cache. Losing it makes
@@ -22,22 +21,13 @@
 // Token identifies an incarnation of an upstream in the packets of a flow. Zero is no token.
 type Token uint32
 
-// provisionalBit is the bit in which the token and the provisional token of an upstream differ.
-const provisionalBit Token = 1 << 31
-
-// provisional returns the provisional token that belongs to a token, or the reverse.
-func (t Token) provisional() Token { return t ^ provisionalBit }
-
-// index returns what a token and its provisional token have in common.
-func (t Token) index() Token { return t &^ provisionalBit }
-
 // TokenOf returns the token of an incarnation of an upstream.
 func TokenOf(id uint64, incarnation int64) Token {
 	var b [16]byte
 	binary.BigEndian.PutUint64(b[:], id)
 	binary.BigEndian.PutUint64(b[8:], uint64(incarnation))
 	sum := xxhash.Sum64(b[:])
-	if t := Token(sum); t.index() != 0 {
+	if t := Token(sum); t != 0 {
 		return t
 	}
 	return Token(sum>>32) | 1
@@ -131,9 +121,6 @@
 	ReasonOverloaded
 	// ReasonNoToken means that a packet other than a SYN has no token.
 	ReasonNoToken
-	// ReasonProvisionalToken means that the packet has the provisional token of an upstream, and that
-	// this host does not know whether the flow was opened there.
-	ReasonProvisionalToken
 	// ReasonUnknownToken means that no known upstream has the token.
 	ReasonUnknownToken
 	// ReasonUpstreamGone means that the upstream of the token has left, restarted or lost its
@@ -148,7 +135,7 @@
 // reasonNames holds the names in logs and metrics. ReasonSYNRetransmit is "copy" there.
 var reasonNames = [reasonCount]string{
 	"routed", "unregistered", "placed", "copy", "moved", "malformed", "no configuration", "no route", "stale configuration", "no upstream",
-	"paced", "overloaded", "no token", "provisional token", "unknown token", "upstream gone", "upstream silent",
+	"paced", "overloaded", "no token", "unknown token", "upstream gone", "upstream silent",
 }
 
 // String returns the reason as it appears in logs and metrics.
--- a/internal/dsr/flows.go
+++ b/internal/dsr/flows.go
@@ -94,16 +94,6 @@
 	return sent >= -maxSequenceGap && sent <= maxSequenceGap && acked >= 0 && acked <= maxSequenceGap
 }
 
-// mayBeOpenAt reports whether a packet with the provisional token of the upstream goes there: the flow is
-// known to be at the upstream, or its handshake is not completed as far as this host knows. A caller
-// completes the handshake within attemptTime, or another host has seen it.
-func (f *flow) mayBeOpenAt(now time.Duration, u *upstream) bool {
-	if f.phase == phaseOpening || f.phase == phaseOverdue {
-		return now-f.openedAt <= attemptTime
-	}
-	return f.upstream == u
-}
-
 // flowCache holds recently seen flows.
 type flowCache struct {
 	flows map[flowKey]*flow
