mimosad-dsr: no two listeners of a test's fleet get the same port

Cause: freePort binds port 0 and closes it, and the kernel may give the same port out again before the hosts start. TestFreePortsAreDistinct failed before.

--- a/cmd/mimosad-dsr/fleet_test.go
+++ b/cmd/mimosad-dsr/fleet_test.go
@@ -79,13 +79,19 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, third, fourth}), port)
 }
 
-// freePort returns a port that is free for both TCP and UDP on 127.0.third.1.
+// givenPorts holds the ports that freePort has returned, which the kernel may give out again.
+var givenPorts sync.Map
+
+// freePort returns a port that is free for both TCP and UDP on 127.0.third.1, another one at each call.
 func freePort(t *testing.T, third byte) uint16 {
 	for range 50 {
 		l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(loopback(third, 1, 0)))
 		require.NoError(t, err)
 		port := l.Addr().(*net.TCPAddr).AddrPort().Port()
 		l.Close()
+		if _, given := givenPorts.LoadOrStore(port, true); given {
+			continue
+		}
 		u, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback(third, 1, port)))
 		if err == nil {
 			u.Close()
@@ -96,6 +102,15 @@
 	return 0
 }
 
+// Guards against two listeners of a fleet that were given the same port.
+func TestFreePortsAreDistinct(t *testing.T) {
+	given := make(map[uint16]bool)
+	for range 1000 {
+		given[freePort(t, 110)] = true
+	}
+	require.Len(t, given, 1000)
+}
+
 // Route addresses. No route exists for unrouted.
 var (
 	orders   = netip.MustParseAddrPort("198.18.0.1:8080")
