dsr: an upstream in a zone that does not answer at all is not silent

Hosts reset flows of living upstreams while two zones lost packets at once, and while one lost nine in ten: all connections to the other zone stayed unanswered for a second, and the control in the host's own zone does not share the way. More attempts make it rarer, not impossible. Such a zone may also be cut off, and its upstreams serve then.

A check is conclusive about an upstream that does not answer only if controls in its zone do. If none does, flows are kept. A refused connection is an answer, and still counts for a zone.

--- a/internal/dsr/check.go
+++ b/internal/dsr/check.go
@@ -23,12 +23,6 @@
 	checkTime     = silenceTimeout - retransmitTime + 10*time.Millisecond
 	// zoneControls is the number of controls in the zone of the checked upstream.
 	zoneControls = 4
-	// A zone is unreachable once zoneSilenceAttempts connections to it had no answer over zoneSilenceTime, or
-	// upstreamSilenceAttempts for each of its upstreams if that is less. Loss of four packets in five, both
-	// ways, leads to the former with a probability of 2 in 10^4, loss of one in two to the latter in 10^5.
-	zoneSilenceAttempts     = 200
-	upstreamSilenceAttempts = 40
-	zoneSilenceTime         = time.Second
 	// retransmitTime is the time after which a caller first repeats a packet, and the shortest time from one
 	// check of an upstream to the next: an accepted connection that is younger says that the upstream ran after
 	// the packet was sent.
@@ -53,7 +47,8 @@
 // Check asks for connections to an upstream that may be silent and to other upstreams, the controls. A
 // connection that is accepted shows that the upstream's machine is reached and a process listens there,
 // whatever callers' links lose and however long the upstream's queue is. One that stays without an answer
-// proves something only while controls answer.
+// proves something only while controls answer that share the way: if none in the zone does, the way may be
+// lossy or cut, and the upstreams behind it may serve.
 type Check struct {
 	ID uint64
 	// Target is the address of the upstream, Controls are those of the other ones.
@@ -231,26 +226,23 @@
 	CheckZoneRefused
 	// CheckUnanswered means that it does not answer, and others in its zone do.
 	CheckUnanswered
-	// CheckZoneUnanswered means that neither it nor others in its zone answer, and others elsewhere do.
-	CheckZoneUnanswered
-	// CheckInconclusive means that loss on the way, or this host's own link, explains the result as well.
+	// CheckInconclusive means that the way to the zone, or this host's own link, explains the result as well.
 	CheckInconclusive
 	checkOutcomeCount
 )
 
-var checkOutcomeNames = [checkOutcomeCount]string{"accepted", "refused", "zone refused", "unanswered", "zone unanswered", "inconclusive"}
+var checkOutcomeNames = [checkOutcomeCount]string{"accepted", "refused", "zone refused", "unanswered", "inconclusive"}
 
 // checkFacts are the evidence of the outcomes that show that the upstream is silent.
 var checkFacts = [checkOutcomeCount]string{
-	CheckRefused:        "upstream refused connections while others in its zone accept them",
-	CheckZoneRefused:    "upstream refused connections, none in its zone accepted one, and another zone did",
-	CheckUnanswered:     "upstream left all connections unanswered while others in its zone answered",
-	CheckZoneUnanswered: "upstreams of the zone left all connections unanswered while another zone answered",
+	CheckRefused:     "upstream refused connections while others in its zone accept them",
+	CheckZoneRefused: "upstream refused connections, none in its zone accepted one, and another zone did",
+	CheckUnanswered:  "upstream left all connections unanswered while others in its zone answered",
 }
 
 // CheckOutcomes returns all outcomes.
 func CheckOutcomes() []CheckOutcome {
-	return []CheckOutcome{CheckAccepted, CheckRefused, CheckZoneRefused, CheckUnanswered, CheckZoneUnanswered, CheckInconclusive}
+	return []CheckOutcome{CheckAccepted, CheckRefused, CheckZoneRefused, CheckUnanswered, CheckInconclusive}
 }
 
 // String returns the outcome as it appears in logs and metrics.
@@ -258,24 +250,20 @@
 
 // outcome returns what the result of a check says.
 func (k *check) outcome(r *CheckResult) CheckOutcome {
-	all, elsewhere := sum(r.Controls[:len(k.inZone)], anyAttempts), sum(r.Controls[len(k.inZone):], anyAttempts)
+	inZone, elsewhere := r.Controls[:len(k.inZone)], r.Controls[len(k.inZone):]
+	all := sum(inZone, anyAttempts)
 	switch {
 	case r.Target.Accepted > 0:
 		return CheckAccepted
 	case r.Target.Refused >= minRefusals && all.Accepted > 0:
 		return CheckRefused
-	case r.Target.Refused >= minRefusals && elsewhere.Accepted > 0:
+	case r.Target.Refused >= minRefusals && sum(elsewhere, anyAttempts).Accepted > 0:
 		return CheckZoneRefused
 	case r.Target.answered() > 0 || r.Target.Unanswered < k.attempts || r.Target.Failed+all.Failed > 0:
 		return CheckInconclusive
-	case all.answered() > 0:
+	case sum(inZone, someAnswered).mostAnswered():
 		// A control without any answer may be silent itself.
-		if sum(r.Controls[:len(k.inZone)], someAnswered).mostAnswered() {
-			return CheckUnanswered
-		}
-		return CheckInconclusive
-	case elsewhere.mostAnswered():
-		return CheckZoneUnanswered
+		return CheckUnanswered
 	default:
 		return CheckInconclusive
 	}
@@ -300,8 +288,7 @@
 	if u.answeredSince(k, &r, outcome) {
 		outcome = CheckInconclusive
 	}
-	c.observeZone(u.zone, k, &r, outcome)
-	e, silent := c.judge(now, k, &r, outcome)
+	e, silent := c.judge(now, u, &r, outcome)
 	switch {
 	case k.again:
 		c.recheckDone(now, u, silent, r.StartedAt)
@@ -309,9 +296,8 @@
 		c.markSilent(now, u, e, r.StartedAt, 0)
 	case silent:
 		c.markSilent(now, u, e, r.StartedAt, silenceTimeout)
-		c.markControlsSilent(now, k, &r, outcome, e)
 	case outcome != CheckAccepted:
-		c.emit(Record{Event: "check of the upstream is inconclusive", Upstream: u.Key, Service: u.Service, Detail: outcome.String(), Considered: len(r.Controls), Age: now - r.StartedAt})
+		c.emit(Record{Event: "check of the upstream is inconclusive", Upstream: u.Key, Service: u.Service, Considered: len(r.Controls), Age: now - r.StartedAt})
 	}
 	return outcome
 }
@@ -322,58 +308,20 @@
 	switch outcome {
 	case CheckRefused, CheckZoneRefused:
 		return u.reachedAt > r.StartedAt
-	case CheckUnanswered, CheckZoneUnanswered:
+	case CheckUnanswered:
 		return u.reachedAt > k.since || u.lastAnswerAt >= r.StartedAt
 	default:
 		return false
 	}
 }
 
-// observeZone records what a check says of the way to the zone of its upstream.
-func (c *Core) observeZone(z *zone, k *check, r *CheckResult, outcome CheckOutcome) {
-	controls := sum(r.Controls[:len(k.inZone)], anyAttempts)
-	switch {
-	case r.Target.answered()+controls.answered() > 0:
-		c.zoneAnswered(z)
-	case outcome == CheckZoneUnanswered:
-		if z.unanswered == 0 || z.reachedAt > z.unansweredSince {
-			z.unanswered, z.unansweredSince = 0, r.StartedAt
-		}
-		z.unanswered += r.Target.Unanswered + controls.Unanswered
-	}
-}
-
-// zoneAnswered records that an upstream of the zone has answered. Those that count as silent because the zone
-// did not answer are not known to be any more.
-func (c *Core) zoneAnswered(z *zone) {
-	if z.unanswered == 0 {
-		return
-	}
-	z.unanswered = 0
-	for _, u := range z.upstreams {
-		if u.silentByZone {
-			c.endSilence(u)
-		}
-	}
-}
-
-// isUnreachable reports whether connections to the zone have had no answer for long enough.
-func (z *zone) isUnreachable(now time.Duration) bool {
-	enough := min(zoneSilenceAttempts, upstreamSilenceAttempts*len(z.upstreams))
-	return z.unanswered >= max(enough, upstreamSilenceAttempts) && now-z.unansweredSince >= zoneSilenceTime
-}
-
 // judge reports whether the upstream of a check is silent, and returns the evidence.
-func (c *Core) judge(now time.Duration, k *check, r *CheckResult, outcome CheckOutcome) (Evidence, bool) {
-	u := k.upstream
-	e := Evidence{Fact: checkFacts[outcome], Source: SourceCheck, At: r.StartedAt}
+func (c *Core) judge(now time.Duration, u *upstream, r *CheckResult, outcome CheckOutcome) (Evidence, bool) {
 	switch outcome {
 	case CheckAccepted:
 		return c.successorAt(now, u)
 	case CheckRefused, CheckZoneRefused, CheckUnanswered:
-		return e, true
-	case CheckZoneUnanswered:
-		return e, u.gone || u.silentAt != 0 || u.zone.isUnreachable(now)
+		return Evidence{Fact: checkFacts[outcome], Source: SourceCheck, At: r.StartedAt}, true
 	default:
 		return Evidence{}, false
 	}
@@ -404,7 +352,7 @@
 	case !silent:
 		c.endSilence(u)
 	case u.flows == 0:
-		u.silentAt, u.silentByZone = 0, false
+		u.silentAt = 0
 	default:
 		u.silentAt, u.silentBy.At = startedAt, startedAt
 		c.resetWaitingFlows(now, u, silenceTimeout)
@@ -428,27 +376,12 @@
 	}
 }
 
-// markControlsSilent records what a check of an upstream in an unreachable zone says of its controls there.
-func (c *Core) markControlsSilent(now time.Duration, k *check, r *CheckResult, outcome CheckOutcome, e Evidence) {
-	if outcome != CheckZoneUnanswered || !k.upstream.zone.isUnreachable(now) {
-		return
-	}
-	k.upstream.silentByZone = k.upstream.silentAt != 0
-	for _, v := range k.inZone {
-		if v.gone || v.silentAt != 0 || v.checkID != 0 || v.lastAnswerAt >= r.StartedAt {
-			continue
-		}
-		c.markSilent(now, v, e, r.StartedAt, silenceTimeout)
-		v.silentByZone = v.silentAt != 0
-	}
-}
-
 // endSilence records that an upstream is not known to be silent any more.
 func (c *Core) endSilence(u *upstream) {
 	if u.silentAt == 0 {
 		return
 	}
-	u.silentAt, u.silentByZone, u.checkID = 0, false, 0
+	u.silentAt, u.checkID = 0, 0
 	c.emit(Record{Event: "upstream is no longer silent", Upstream: u.Key, Service: u.Service})
 }
 
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -62,11 +62,9 @@
 	lastAnswerAt, reachedAt time.Duration
 	backoff                 backoff
 	// silentAt is when the last check began, if it found that the upstream does not answer, silentBy its
-	// evidence; zero if not, or if it has answered since. silentByZone is set if the check found that of its zone. recheckDelay is the
-	// time to the next check.
+	// evidence; zero if not, or if it has answered since. recheckDelay is the time to the next check.
 	silentAt     time.Duration
 	silentBy     Evidence
-	silentByZone bool
 	recheckDelay time.Duration
 	// checkID is the check that is wanted or under way; zero is none. The next one may begin at nextCheckAt.
 	checkID     uint64
@@ -120,10 +118,6 @@
 	// firstTimedOut is the first upstream with a handshake timeout since the last answer of the
 	// zone. A timeout at a second upstream puts the zone into backoff.
 	firstTimedOut *upstream
-	// unanswered is the number of connections of checks without an answer since unansweredSince, if there
-	// was no answer meanwhile.
-	unanswered      int
-	unansweredSince time.Duration
 }
 
 func (z *zone) add(u *upstream) {
@@ -209,9 +203,6 @@
 	z := u.zone
 	z.reachedAt = max(z.reachedAt, sent)
 	z.firstTimedOut = nil
-	if sent > z.unansweredSince {
-		c.zoneAnswered(z)
-	}
 	if z.backoff.clear(sent) {
 		c.emit(Record{Event: "availability zone answers again", Detail: z.name})
 	}
