--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -15,12 +15,6 @@
 	busyTimeoutFactor = 4
 	// minWork is the least time that a request takes a slot, after the transit is subtracted.
 	minWork = time.Millisecond
-	// silenceTimeout is how long a flow must have had no answer before it is reset by a check of its upstream.
-	// Callers retransmit after 200 and 400 ms.
-	silenceTimeout = 550 * time.Millisecond
-	// resetMaxAge is the maximum time since the last packet of a flow for resetWaitingFlows to
-	// reset it: the longest deadline of requests on streams.
-	resetMaxAge = 4 * time.Second
 )
 
 // observe updates the state of the flow and its upstream from a packet other than a SYN.
