--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -10,6 +10,7 @@
 
 	"mimosashore.example/mimosashore/internal/directory"
 	"mimosashore.example/mimosashore/internal/loadcontrol"
+	"mimosashore.example/mimosashore/internal/schedule"
 )
 
 // factRemoved is the evidence that an upstream has left.
@@ -233,7 +234,7 @@
 func (c *Core) serviceOf(name string) *service {
 	s := c.services[name]
 	if s == nil {
-		s = &service{spill: loadcontrol.NewWindow()}
+		s = &service{name: name, spill: loadcontrol.NewWindow(), queue: schedule.New[*waitingRequest]()}
 		c.services[name] = s
 	}
 	return s
--- a/internal/dsr/choose.go
+++ b/internal/dsr/choose.go
@@ -68,7 +68,11 @@
 	ch.repeatLoad = s.repeatLoad(now)
 	c.rotation++
 	start := int(((c.rotation * goldenRatioStep) >> 32) % uint64(len(s.upstreams)))
-	spills := s.spill.Admits(now, s.spilled, ch.class)
+	class := ch.class
+	if s.schedules() {
+		class = loadcontrol.Class{}
+	}
+	spills := s.spill.Admits(now, s.spilled, class)
 	if len(s.upstreams) > fullSearchSize {
 		for _, u := range s.own {
 			c.consider(now, &ch, r, u, spills)
@@ -103,7 +107,7 @@
 	if suspect {
 		ch.suspect++
 	}
-	if !admits(now, ch, u, r.LatencyObjective, spills) {
+	if !c.admits(now, ch, u, r.LatencyObjective, spills) {
 		if !suspect {
 			ch.full++
 		}
@@ -115,8 +119,14 @@
 }
 
 // admits reports whether another flow may be opened at an upstream.
-func admits(now time.Duration, ch *choice, u *upstream, objective time.Duration, spills bool) bool {
+func (c *Core) admits(now time.Duration, ch *choice, u *upstream, objective time.Duration, spills bool) bool {
 	s := ch.state
+	if s.schedules() {
+		if u.share == 0 {
+			return spills && float64(u.busy+u.opening) < u.learnedLimit(now)
+		}
+		return c.hasRoom(now, s, u)
+	}
 	slots := u.share * float64(u.Slots)
 	if u.share == 0 {
 		if !spills {
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -36,6 +36,7 @@
 	format   Format
 	cache    flowCache
 	waiters  waiters
+	waiting  waiting
 	unrouted unrouted
 
 	byKey map[string]*upstream
@@ -118,6 +119,7 @@
 		zones:         make(map[string]*zone),
 		routes:        make(map[netip.AddrPort]*route),
 		waiters:       newWaiters(),
+		waiting:       newWaiting(),
 		unrouted:      newUnrouted(),
 		unknownTokens: make(map[Token]time.Duration),
 		checks:        make(map[uint64]*check),
@@ -166,7 +168,7 @@
 		c.declared[name] = true
 	}
 	for _, s := range c.services {
-		s.latencyObjective, s.lowestPriority = 0, 0
+		s.latencyObjective, s.deadline, s.lowestPriority = 0, 0, 0
 	}
 	for i := range n.Routes {
 		r := &route{Route: n.Routes[i]}
@@ -190,10 +192,14 @@
 		c.emit(Record{Event: "packet dropped", Action: Drop, Detail: err.Error()})
 		return p, Effect{Action: Drop, Reason: ReasonMalformed}
 	}
+	var e Effect
 	if p.SYN {
-		return p, c.handleSYN(now, p)
+		e = c.handleSYN(now, p)
+	} else {
+		e = c.routePacket(now, p)
 	}
-	return p, c.routePacket(now, p)
+	c.serveWaiting(now)
+	return p, e
 }
 
 // advance handles timeouts that have expired: of lapsed registrations, handshakes, requests in
@@ -239,6 +245,12 @@
 		}
 		reason, moved = ReasonMoved, f.moveEvidence(now)
 	}
+	if w := c.waiting.byKey[key]; w != nil {
+		if w.upstream == nil && w.packets[0].header.Seq == p.Seq {
+			return Effect{Action: Drop, Reason: ReasonWaitingCopy}
+		}
+		c.dropWaiting(w)
+	}
 	choice := c.choose(now, r, p)
 	s := choice.state
 	if choice.upstream == nil {
@@ -274,7 +286,11 @@
 // caller waits for its next retransmission, or is refused if it would not be served then either. Only the
 // first SYN of a flow that is not known is refused: otherwise the flow may be open.
 func (c *Core) handleNotPlaced(now time.Duration, p *Packet, r *route, f *flow, ch choice) Effect {
-	if ch.reason == ReasonPaced && p.SYNRetransmits == 0 && f == nil {
+	scheduled := ch.state != nil && ch.state.schedules()
+	if ch.reason == ReasonPaced && f == nil && scheduled && !c.waiting.draining {
+		return c.waitOrReject(now, p, r, ch)
+	}
+	if ch.reason == ReasonPaced && !scheduled && p.SYNRetransmits == 0 && f == nil {
 		if ch.state.overloaded(now, ch.class) {
 			ch.state.refused(now, ch.class)
 			c.emitOpening("flow refused", now, p, r, ch, ReasonOverloaded)
@@ -370,6 +386,14 @@
 	}
 	f.route = c.routes[p.Service]
 	c.cache.touch(now, f)
+	if e, held := c.holdRequest(now, f, p); held {
+		if p.HasAck {
+			acknowledgement := *p
+			acknowledgement.Length, acknowledgement.FIN = 0, false
+			c.observe(now, f, &acknowledgement)
+		}
+		return e
+	}
 	c.observe(now, f, p)
 	if f.waitsInVain(now) {
 		unanswered := now - f.progressAt
--- a/internal/dsr/dsr.go
+++ b/internal/dsr/dsr.go
@@ -77,10 +77,12 @@
 	Forward
 	// Reset discards the packet and resets the flow at the caller.
 	Reset
+	// Hold keeps the packet under Effect.Hold until a Release decides on it.
+	Hold
 	actionCount
 )
 
-var actionNames = [actionCount]string{"drop", "forward", "reset"}
+var actionNames = [actionCount]string{"drop", "forward", "reset", "hold"}
 
 // String returns the action as it appears in logs and metrics.
 func (a Action) String() string { return actionNames[a] }
@@ -129,13 +131,19 @@
 	// ReasonUpstreamSilent means that the upstream does not answer; the caller can repeat its
 	// idempotent request elsewhere.
 	ReasonUpstreamSilent
+	// ReasonWaiting means that the request waits for a slot.
+	ReasonWaiting
+	// ReasonWaitingCopy means that the packet is a copy of one that waits.
+	ReasonWaitingCopy
+	// ReasonWaitEnded means that the request waited and is not served.
+	ReasonWaitEnded
 	reasonCount
 )
 
 // reasonNames holds the names in logs and metrics. ReasonSYNRetransmit is "copy" there.
 var reasonNames = [reasonCount]string{
 	"routed", "unregistered", "placed", "copy", "moved", "malformed", "no configuration", "no route", "stale configuration", "no upstream",
-	"paced", "overloaded", "no token", "unknown token", "upstream gone", "upstream silent",
+	"paced", "overloaded", "no token", "unknown token", "upstream gone", "upstream silent", "waiting", "copy of waiting", "wait ended",
 }
 
 // String returns the reason as it appears in logs and metrics.
@@ -150,6 +158,8 @@
 	ID uint64
 	// Token is written into the packet unless it is zero.
 	Token Token
+	// Hold identifies the packet for Hold.
+	Hold HoldID
 	// Resync requests a full read of the directory.
 	Resync bool
 }
--- a/internal/dsr/flows.go
+++ b/internal/dsr/flows.go
@@ -162,6 +162,9 @@
 		u.service.flows--
 	}
 	f.phase = to
+	if (to == phaseOpening || to == phaseBusy) && u.busy+u.opening == 0 {
+		u.busySince = now
+	}
 	switch to {
 	case phaseOpening:
 		f.openedAt = now
--- a/internal/dsr/loadworld_test.go
+++ b/internal/dsr/loadworld_test.go
@@ -18,6 +18,8 @@
 	loadTransit       = time.Millisecond
 	storeRoundTrip    = 5 * time.Millisecond
 	loadAttemptTime   = 1400 * time.Millisecond
+	loadRetransmit    = 200 * time.Millisecond
+	loadRetransmitMax = 1600 * time.Millisecond
 	loadQueuePerSlot  = 5
 	loadQueueTime     = 950 * time.Millisecond
 	loadTries         = 3
@@ -57,6 +59,9 @@
 	random    *rand.Rand
 	directory *directory.Change
 	zones     [][]*Core // hosts by zone
+	// held holds what is done with the packets that wait at a host, due the hosts with a timer.
+	held map[*Core]map[HoldID]func(Effect)
+	due  map[*Core]bool
 	// callersZone sends all callers to one zone if it is not negative.
 	callersZone int
 	upstreams   map[netip.AddrPort]*loadUpstream
@@ -131,7 +136,8 @@
 }
 
 func newLoadWorld(scale loadScale, seed uint64) *loadWorld {
-	w := &loadWorld{scale: scale, random: rand.New(rand.NewPCG(seed, seed)), upstreams: make(map[netip.AddrPort]*loadUpstream), slowdown: 1, pressure: 1, callersZone: -1}
+	w := &loadWorld{scale: scale, random: rand.New(rand.NewPCG(seed, seed)), upstreams: make(map[netip.AddrPort]*loadUpstream), slowdown: 1, pressure: 1, callersZone: -1,
+		held: make(map[*Core]map[HoldID]func(Effect)), due: make(map[*Core]bool)}
 	ch := &directory.Change{Full: true, Revision: 10, Configuration: configuration(1)}
 	for i, class := range []loadClass{scale.stream, scale.order} {
 		ch.Configuration.Routes[i].LatencyObjective = class.objective
@@ -284,8 +290,27 @@
 	return &loadFlow{world: w, zone: zone, caller: caller, port: port, seq: 100}
 }
 
-// send passes a packet of the flow to its host.
-func (f *loadFlow) send(flags, synRetransmits byte, length int) Effect {
+// settle carries out what a host decided on packets that waited, and calls it again when it wants to be.
+func (w *loadWorld) settle(c *Core) {
+	for _, r := range append([]Release(nil), c.TakeReleases()...) {
+		then := w.held[c][r.Hold]
+		delete(w.held[c], r.Hold)
+		then(r.Effect)
+	}
+	at, ok := c.NextEvent(w.Now())
+	if !ok || w.due[c] {
+		return
+	}
+	w.due[c] = true
+	w.After(at-w.Now(), func() {
+		w.due[c] = false
+		c.Advance(w.Now())
+		w.settle(c)
+	})
+}
+
+// send passes a packet of the flow to its host. The function then gets the effect, at once or after a wait.
+func (f *loadFlow) send(flags, synRetransmits byte, length int, then func(Effect)) {
 	var b [24]byte
 	caller := f.caller.Addr().As4()
 	copy(b[:], caller[:])
@@ -297,7 +322,8 @@
 	binary.BigEndian.PutUint32(b[18:], uint32(f.token))
 	b[22], b[23] = flags, synRetransmits
 	if len(f.world.zones) == 0 {
-		return Effect{Action: Drop}
+		then(Effect{Action: Drop})
+		return
 	}
 	hosts := f.world.zones[f.zone]
 	host := hosts[int(uint32(f.caller.Port())*2654435761>>16)%len(hosts)]
@@ -305,7 +331,15 @@
 	if asked := f.world.Now(); host.TakeConfirmRequest() {
 		f.world.After(storeRoundTrip, func() { host.Confirmed(f.world.Now(), asked) })
 	}
-	return e
+	if e.Action == Hold {
+		if f.world.held[host] == nil {
+			f.world.held[host] = make(map[HoldID]func(Effect))
+		}
+		f.world.held[host][e.Hold] = then
+	} else {
+		then(e)
+	}
+	f.world.settle(host)
 }
 
 // open opens the flow for a request.
@@ -316,17 +350,19 @@
 			if f.opened || f.ended || r.done {
 				return
 			}
-			switch e := f.send(flagSYN, byte(n), 0); e.Action {
-			case Forward:
-				u := w.upstreams[e.To]
-				if u.dark {
-					return
+			f.send(flagSYN, byte(n), 0, func(e Effect) {
+				switch e.Action {
+				case Forward:
+					u := w.upstreams[e.To]
+					if u.dark {
+						return
+					}
+					w.After(2*loadTransit, func() { f.answered(r, u, e.Token) })
+				case Reset:
+					w.outcome.refusals++
+					w.After(loadTransit, func() { f.end(r) })
 				}
-				w.After(2*loadTransit, func() { f.answered(r, u, e.Token) })
-			case Reset:
-				w.outcome.refusals++
-				w.After(loadTransit, func() { f.end(r) })
-			}
+			})
 		})
 	}
 	w.After(loadAttemptTime, func() { f.end(r) })
@@ -346,7 +382,7 @@
 	}
 	f.opened, f.upstream, f.token = true, u, token
 	f.seq, f.ack = 101, 500
-	f.world.After(loadTransit, func() { f.send(flagACK, 0, 0) })
+	f.world.After(loadTransit, func() { f.send(flagACK, 0, 0, ignore) })
 	var s *loadStream
 	if r.class.stream {
 		s = &loadStream{f, requestsPerStream}
@@ -366,27 +402,44 @@
 // request sends a request on the open flow.
 func (f *loadFlow) request(r *loadRequest, s *loadStream) {
 	w := f.world
-	w.After(loadTransit, func() {
-		f.send(flagACK, 0, 300)
-		f.seq += 300
-		w.After(loadTransit, func() {
-			f.upstream.add(w.work(r.class.work), func(served bool) {
-				w.After(loadTransit, func() { f.finish(r, s, served) })
+	seq := f.seq
+	f.seq += 300
+	reached := false
+	var send func(pause time.Duration)
+	send = func(pause time.Duration) {
+		if r.done || reached {
+			return
+		}
+		f.seq = seq
+		f.send(flagACK, 0, 300, func(e Effect) {
+			if e.Action != Forward || reached {
+				return
+			}
+			reached = true
+			w.After(loadTransit, func() {
+				f.upstream.add(w.work(r.class.work), func(served bool) {
+					w.After(loadTransit, func() { f.finish(r, s, served) })
+				})
 			})
 		})
-	})
+		f.seq = seq + 300
+		w.After(pause, func() { send(min(2*pause, loadRetransmitMax)) })
+	}
+	w.After(loadTransit, func() { send(loadRetransmit) })
 }
 
+func ignore(Effect) {}
+
 // finish handles the answer to a request, or its refusal.
 func (f *loadFlow) finish(r *loadRequest, s *loadStream, served bool) {
 	w := f.world
 	f.ack += 2000
 	w.After(loadTransit, func() {
 		if s == nil || s.left <= 1 || !served {
-			f.send(flagACK|flagFIN, 0, 0)
+			f.send(flagACK|flagFIN, 0, 0, ignore)
 			return
 		}
-		f.send(flagACK, 0, 0)
+		f.send(flagACK, 0, 0, ignore)
 	})
 	if !served {
 		w.outcome.sheds++
--- a/internal/dsr/record.go
+++ b/internal/dsr/record.go
@@ -36,8 +36,10 @@
 	// Open the open work of the selected one. For a configuration they are the numbers of its
 	// routes, of its skipped routes and of the routes that it replaces.
 	Considered, Suspect, Open int
-	// Waiting is the number of callers that wait for an upstream of the service.
-	Waiting int
+	// Waiting is the number of requests that wait for an upstream of the service, Rank the number of those that
+	// went before the request, and Waited how long it waited.
+	Waiting, Rank int
+	Waited        time.Duration
 	// Demand is the number of requests per second that are asked of the Slots of this host, and Work
 	// the time that a request takes one of them.
 	Demand, Slots float64
@@ -56,6 +58,8 @@
 	SampleHandshake SampleKind = iota
 	// SampleAnswer is the time from a request to its answer.
 	SampleAnswer
+	// SampleWait is the time that a request waited at this host.
+	SampleWait
 	// SampleHandshakeTimeout is the time from a SYN to the timeout of its handshake.
 	SampleHandshakeTimeout
 )
--- a/internal/dsr/service.go
+++ b/internal/dsr/service.go
@@ -6,10 +6,12 @@
 	"time"
 
 	"mimosashore.example/mimosashore/internal/loadcontrol"
+	"mimosashore.example/mimosashore/internal/schedule"
 )
 
 // service is the state of a service.
 type service struct {
+	name      string
 	upstreams []*upstream
 	// own holds the upstreams that this host is responsible for, at least in part, and ownSlots the
 	// number of their slots in proportion. In a zone without upstreams, own is empty and ownSlots an
@@ -29,6 +31,11 @@
 	// the priority of the least urgent one.
 	latencyObjective time.Duration
 	lowestPriority   int
+	// deadline is the longest deadline of the routes to the service; zero if a route declares none, or no
+	// latency objective.
+	deadline time.Duration
+	// queue holds the requests that wait at this host.
+	queue *schedule.Queue[*waitingRequest]
 
 	// spill limits spilled, the number of requests of this host at upstreams that others are
 	// responsible for.
@@ -46,6 +53,7 @@
 		s.latencyObjective = r.LatencyObjective
 	}
 	s.lowestPriority = max(s.lowestPriority, r.Priority)
+	s.deadline = max(s.deadline, r.Timeout)
 }
 
 // repeatLoad returns the mean number of requests in progress on an open flow that were not its first.
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -5,6 +5,7 @@
 
 	"mimosashore.example/mimosashore/internal/directory"
 	"mimosashore.example/mimosashore/internal/loadcontrol"
+	"mimosashore.example/mimosashore/internal/schedule"
 )
 
 const (
@@ -73,6 +74,10 @@
 	latency   float64
 	latencyAt time.Duration
 	pacer     loadcontrol.Pacer
+	// line holds the requests on open flows that wait for the upstream, busySince is when it was last
+	// idle.
+	line      schedule.Line[*waitingRequest]
+	busySince time.Duration
 	// rank orders the upstreams of a service in the same way on all hosts.
 	rank uint64
 	// share is the part of the upstream that this host is responsible for.
--- /dev/null
+++ b/internal/dsr/waiting.go
@@ -0,0 +1,435 @@
+package dsr
+
+import (
+	"time"
+
+	"mimosashore.example/mimosashore/internal/loadcontrol"
+	"mimosashore.example/mimosashore/internal/schedule"
+)
+
+const (
+	// maxWaiting and maxWaitingBytes bound what waits at a host, in requests and in bytes of packets. Hosts
+	// have 104 MB or more.
+	maxWaiting      = 4096
+	maxWaitingBytes = 4 << 20
+	// packetOverhead is the size in bytes of the header of a packet and of what the shell keeps with it.
+	packetOverhead = 64
+	// maxWaitingPackets is the number of packets of one flow that wait, which is a caller's window.
+	maxWaitingPackets = 16
+	// attemptReserve is the part of an attempt that is left for the handshake when a waiting SYN is
+	// rejected.
+	attemptReserve = 100 * time.Millisecond
+	// stalledFactor is the multiple of the work after which an upstream without an answer is not
+	// waited for, and stalledMin the least time: the spread of the work, and short pauses of a host.
+	stalledFactor = 6
+	stalledMin    = 150 * time.Millisecond
+	// waitingInterval is how often the core is called while requests wait: for limits below one request,
+	// deadlines, and upstreams that stop answering.
+	waitingInterval = 5 * time.Millisecond
+	// lookaheadObjective is the multiple of the work that the latency objective must be for an upstream to
+	// get one request more than it works on. It covers the way of the acknowledgement.
+	lookaheadObjective = 4
+)
+
+// HoldID identifies a packet that waits at the host.
+type HoldID uint64
+
+// Release is a decision on a packet that waited.
+type Release struct {
+	Hold   HoldID
+	Header Packet
+	Effect Effect
+}
+
+// waitingRequest is a request that waits for a slot: the SYN of a new flow, or the first packet of a
+// request on an open flow and the packets behind it.
+type waitingRequest struct {
+	entry   schedule.Entry[*waitingRequest]
+	key     flowKey
+	service *service
+	// upstream is that of the open flow; nil for a SYN.
+	upstream *upstream
+	class    loadcontrol.Class
+	since    time.Duration
+	rank     int
+	packets  []waitingPacket
+	bytes    int
+}
+
+// waitingPacket is a packet whose bytes the shell keeps.
+type waitingPacket struct {
+	id     HoldID
+	header Packet
+}
+
+// waiting holds the requests that wait at the host.
+type waiting struct {
+	byKey map[flowKey]*waitingRequest
+	bytes int
+	last  HoldID
+	// services holds those with waiting requests.
+	services map[*service]struct{}
+	releases []Release
+	free     []*waitingRequest
+	// draining is set while waiting requests are released, so that their packets are not held again.
+	draining bool
+}
+
+func newWaiting() waiting {
+	return waiting{byKey: make(map[flowKey]*waitingRequest), services: make(map[*service]struct{})}
+}
+
+// schedules reports whether requests of the service wait at the host: its routes declare when an
+// answer is in time and when callers give up.
+func (s *service) schedules() bool { return s.latencyObjective > 0 && s.deadline > 0 }
+
+// limitAt returns the number of requests of this host that an upstream works on, and one more if the
+// latency objective leaves the time for it.
+func (c *Core) limitAt(now time.Duration, s *service, u *upstream) float64 {
+	share := u.share
+	if share == 0 {
+		share = 1
+	}
+	limit := share * u.learnedLimit(now)
+	if work := u.learnedWork(now); work > 0 && s.latencyObjective >= lookaheadObjective*work {
+		limit += share
+	}
+	return limit
+}
+
+// hasRoom reports whether another request of this host may be sent to an upstream that it is responsible for.
+func (c *Core) hasRoom(now time.Duration, s *service, u *upstream) bool {
+	return u.pacer.Admits(now, float64(u.busy+u.opening), c.limitAt(now, s, u), loadcontrol.Class{}, u.learnedWork(now))
+}
+
+// stalled reports whether the upstream has not answered for so long that requests must not wait for it.
+func (u *upstream) stalled(now time.Duration) bool {
+	if u.suspect(now) {
+		return true
+	}
+	since := max(u.lastAnswerAt, u.busySince)
+	return u.busy+u.opening > 0 && now-since > max(stalledMin, stalledFactor*u.learnedWork(now))
+}
+
+// holdRequest decides whether a packet on an open flow waits, and returns the effect if it does. Copies of
+// packets that wait are dropped, since the packet itself is sent later.
+func (c *Core) holdRequest(now time.Duration, f *flow, p *Packet) (Effect, bool) {
+	w := c.waiting.byKey[f.key]
+	if w != nil && w.upstream == nil {
+		// The packet of an open flow shows that another host forwarded the SYN.
+		c.dropWaiting(w)
+		w = nil
+	}
+	switch {
+	case w != nil && (p.RST || p.FIN):
+		c.dropWaiting(w)
+		return Effect{}, false
+	case w != nil && p.Length > 0:
+		return c.holdBehind(w, p), true
+	case w != nil || p.Length == 0 || c.waiting.draining:
+		return Effect{}, false
+	}
+	u := f.upstream
+	s := u.service
+	// The first request of a flow takes the slot that was kept for it when the flow was opened.
+	isRequest := f.phase == phaseIdle && f.answered && !f.pending && int32(p.Seq+uint32(p.Length)-f.nextSeq) > 0
+	if !isRequest || !s.schedules() || u.share == 0 || u.gone || f.route == nil {
+		return Effect{}, false
+	}
+	if u.line.Len() == 0 && c.hasRoom(now, s, u) || u.stalled(now) {
+		return Effect{}, false
+	}
+	w = c.newWaiting(now, p, s, f.route, u)
+	return c.hold(now, w, p, ReasonWaiting), true
+}
+
+// holdBehind makes a packet wait behind another one of its flow.
+func (c *Core) holdBehind(w *waitingRequest, p *Packet) Effect {
+	last := &w.packets[len(w.packets)-1].header
+	if int32(p.Seq-(last.Seq+uint32(last.Length))) < 0 || len(w.packets) >= maxWaitingPackets {
+		return Effect{Action: Drop, Reason: ReasonWaitingCopy}
+	}
+	return c.keepPacket(w, p, ReasonWaiting)
+}
+
+// newWaiting returns a request that waits for an upstream, or for any if it is nil.
+func (c *Core) newWaiting(now time.Duration, p *Packet, s *service, r *route, u *upstream) *waitingRequest {
+	var w *waitingRequest
+	if n := len(c.waiting.free); n > 0 {
+		w, c.waiting.free = c.waiting.free[n-1], c.waiting.free[:n-1]
+	} else {
+		w = new(waitingRequest)
+	}
+	*w = waitingRequest{key: flowKey{p.Caller, p.Service}, service: s, upstream: u, since: now, packets: w.packets[:0], class: loadcontrol.Class{Urgent: r.Priority < s.lowestPriority}}
+	w.entry = schedule.Entry[*waitingRequest]{Value: w, Request: c.waitingRequestOf(now, p, r, u == nil)}
+	return w
+}
+
+// waitingRequestOf returns what the queue knows of a request whose first packet is given.
+func (c *Core) waitingRequestOf(now time.Duration, p *Packet, r *route, opening bool) schedule.Request {
+	q := schedule.Request{Caller: p.Caller.Addr(), Priority: r.Priority, ObjectiveAt: now + r.LatencyObjective, DeadlineAt: now + r.Timeout}
+	if opening {
+		elapsed := synCopyAge(p.SYNRetransmits)
+		q.Rejectable = p.SYNRetransmits == 0
+		q.ObjectiveAt -= elapsed
+		q.DeadlineAt = min(q.DeadlineAt, now+attemptTime-attemptReserve) - elapsed
+	}
+	return q
+}
+
+// synCopyAge returns the time since the first SYN of an attempt when its nth copy is sent.
+func synCopyAge(n uint32) time.Duration {
+	switch n {
+	case 0:
+		return 0
+	case 1:
+		return 200 * time.Millisecond
+	default:
+		return 600 * time.Millisecond
+	}
+}
+
+// hold makes a request wait, whose first packet is given.
+func (c *Core) hold(now time.Duration, w *waitingRequest, p *Packet, reason Reason) Effect {
+	c.makeSpace(now, p)
+	var line *schedule.Line[*waitingRequest]
+	if w.upstream != nil {
+		line = &w.upstream.line
+	}
+	w.service.queue.Add(now, &w.entry, line)
+	c.waiting.byKey[w.key] = w
+	c.waiting.services[w.service] = struct{}{}
+	return c.keepPacket(w, p, reason)
+}
+
+// makeSpace keeps the bounds of what waits: the request of the lowest rank gives way.
+func (c *Core) makeSpace(now time.Duration, p *Packet) {
+	for len(c.waiting.byKey) >= maxWaiting || c.waiting.bytes+p.Length+packetOverhead > maxWaitingBytes {
+		var lowest *waitingRequest
+		for s := range c.waiting.services {
+			if e := s.queue.Lowest(); e != nil && (lowest == nil || e.Priority > lowest.entry.Priority) {
+				lowest = e.Value
+			}
+		}
+		if lowest == nil {
+			return
+		}
+		c.endWait(now, lowest, "too much waits")
+	}
+}
+
+func (c *Core) keepPacket(w *waitingRequest, p *Packet, reason Reason) Effect {
+	c.waiting.last++
+	w.packets = append(w.packets, waitingPacket{c.waiting.last, *p})
+	size := p.Length + packetOverhead
+	w.bytes += size
+	c.waiting.bytes += size
+	return Effect{Action: Hold, Reason: reason, Hold: c.waiting.last}
+}
+
+// forget removes a request from all that waits. Its packets are still to be released.
+func (c *Core) forget(w *waitingRequest) {
+	w.service.queue.Remove(&w.entry)
+	delete(c.waiting.byKey, w.key)
+	c.waiting.bytes -= w.bytes
+	if w.service.queue.Len() == 0 {
+		delete(c.waiting.services, w.service)
+	}
+}
+
+func (c *Core) recycle(w *waitingRequest) {
+	if len(c.waiting.free) < maxWaiting {
+		c.waiting.free = append(c.waiting.free, w)
+	}
+}
+
+// dropWaiting drops a request whose caller does not need it any more.
+func (c *Core) dropWaiting(w *waitingRequest) {
+	c.forget(w)
+	for i := range w.packets {
+		c.release(w, i, Effect{Action: Drop, Reason: ReasonWaitEnded})
+	}
+	c.recycle(w)
+}
+
+func (c *Core) release(w *waitingRequest, i int, e Effect) {
+	p := &w.packets[i]
+	c.waiting.releases = append(c.waiting.releases, Release{Hold: p.id, Header: p.header, Effect: e})
+}
+
+// endWait ends the wait of a request that is not served: a SYN of which no copy was forwarded is
+// rejected, any other packet dropped. The caller sends that again if it still waits for an answer.
+func (c *Core) endWait(now time.Duration, w *waitingRequest, cause string) {
+	e := Effect{Action: Drop, Reason: ReasonWaitEnded}
+	if w.entry.Rejectable {
+		e = Effect{Action: Reset, Reason: ReasonOverloaded}
+	}
+	s := w.service
+	s.asked(now, w.class)
+	c.emit(Record{
+		Event: "request not served", Action: e.Action, Caller: w.key.caller, Address: w.key.service, Service: s.name, Detail: cause, Version: c.version,
+		Rank: w.rank, Waiting: s.queue.Len(), Waited: now - w.since, Demand: s.demand.Rate(now), Slots: s.ownSlots, Work: s.work.Mean(),
+	})
+	c.samples = append(c.samples, Sample{SampleWait, now - w.since})
+	c.forget(w)
+	for i := range w.packets {
+		c.release(w, i, e)
+	}
+	c.recycle(w)
+}
+
+// serve releases a request that takes a slot. It is routed anew, since the directory or the flow may
+// have changed meanwhile.
+func (c *Core) serve(now time.Duration, w *waitingRequest) {
+	c.forget(w)
+	c.waiting.draining = true
+	var e Effect
+	for i := range w.packets {
+		p := &w.packets[i].header
+		if p.SYN {
+			e = c.handleSYN(now, p)
+		} else {
+			e = c.routePacket(now, p)
+		}
+		c.release(w, i, e)
+	}
+	c.waiting.draining = false
+	rec := Record{
+		Event: "request waited", Action: e.Action, Caller: w.key.caller, Address: w.key.service, Service: w.service.name, Detail: e.Reason.String(),
+		Token: e.Token, To: e.To, Rank: w.rank, Waiting: w.service.queue.Len(), Waited: now - w.since,
+	}
+	if u := c.tokens[e.Token]; u != nil {
+		rec.Upstream = u.Key
+	}
+	c.emit(rec)
+	c.samples = append(c.samples, Sample{SampleWait, now - w.since})
+	c.recycle(w)
+}
+
+// serveWaiting gives free slots to waiting requests, and ends the wait of those that will not be served.
+func (c *Core) serveWaiting(now time.Duration) {
+	if len(c.waiting.byKey) == 0 {
+		return
+	}
+	for s := range c.waiting.services {
+		c.serveService(now, s)
+	}
+}
+
+func (c *Core) serveService(now time.Duration, s *service) {
+	for e := s.queue.Expired(now); e != nil; e = s.queue.Expired(now) {
+		cause := "the caller gives up"
+		if e.Rejectable {
+			cause = "no slot before the end of the attempt"
+		}
+		c.endWait(now, e.Value, cause)
+	}
+	if s.sharesStale {
+		c.computeShares(s)
+	}
+	for _, u := range s.upstreams {
+		if u.line.Len() > 0 && (u.share == 0 || u.stalled(now) || !u.usable()) {
+			c.releaseLine(now, s, u)
+		}
+	}
+	work := s.work.Mean()
+	for served := true; served && s.queue.Len() > 0; {
+		served = false
+		for _, u := range s.own {
+			if u.suspect(now) || !c.hasRoom(now, s, u) {
+				continue
+			}
+			if e := s.queue.Next(now, &u.line, work); e != nil {
+				c.serve(now, e.Value)
+				served = true
+			}
+		}
+	}
+	for s.queue.FreeLen() > 0 && s.spill.Admits(now, s.spilled, loadcontrol.Class{}) && c.hasForeign(now, s) {
+		e := s.queue.Next(now, nil, work)
+		if e == nil {
+			break
+		}
+		c.serve(now, e.Value)
+	}
+}
+
+// hasForeign reports whether an upstream that other hosts are responsible for can take a flow.
+func (c *Core) hasForeign(now time.Duration, s *service) bool {
+	for _, u := range s.upstreams {
+		if u.share == 0 && u.usable() && !u.suspect(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// releaseLine sends on all requests that wait for an upstream. Their flows can't be moved, and the upstream
+// must be asked whether it still serves them.
+func (c *Core) releaseLine(now time.Duration, s *service, u *upstream) {
+	for u.line.Len() > 0 {
+		e := s.queue.NextInLine(now, &u.line)
+		if e == nil {
+			return
+		}
+		c.serve(now, e.Value)
+	}
+}
+
+// waitOrReject decides on a SYN for which no upstream has room. It is rejected at once if it would not be
+// served, and waits otherwise.
+func (c *Core) waitOrReject(now time.Duration, p *Packet, r *route, ch choice) Effect {
+	s := ch.state
+	q := c.waitingRequestOf(now, p, r, true)
+	supply := schedule.Supply{Work: s.work.Mean(), Lasting: s.overloaded(now, ch.class)}
+	if supply.Work > 0 {
+		supply.Rate = s.ownSlots / supply.Work.Seconds()
+	}
+	a := s.queue.Assess(now, q, nil, supply)
+	if q.Rejectable && supply.Rate > 0 && !a.Served {
+		s.refused(now, ch.class)
+		c.emitOpening("flow refused", now, p, r, ch, ReasonOverloaded)
+		return Effect{Action: Reset, Reason: ReasonOverloaded}
+	}
+	w := c.newWaiting(now, p, s, r, nil)
+	w.rank = a.Rank
+	return c.hold(now, w, p, ReasonWaiting)
+}
+
+// Advance handles what is due at the given time. The shell calls it at NextEvent.
+func (c *Core) Advance(now time.Duration) {
+	c.advance(now)
+	c.serveWaiting(now)
+}
+
+// NextEvent returns when Advance is to be called, and false if no request waits.
+func (c *Core) NextEvent(now time.Duration) (time.Duration, bool) {
+	if len(c.waiting.byKey) == 0 {
+		return 0, false
+	}
+	return now + waitingInterval, true
+}
+
+// Waiting returns the number of requests that wait, and the bytes of their packets.
+func (c *Core) Waiting() (requests, bytes int) { return len(c.waiting.byKey), c.waiting.bytes }
+
+// TakeReleases returns the decisions on packets that waited since the last call of TakeReleases, in the
+// order in which they are to be carried out. They are valid until the next call of a method of the core.
+func (c *Core) TakeReleases() []Release {
+	r := c.waiting.releases
+	c.waiting.releases = c.waiting.releases[:0]
+	return r
+}
+
+// StopWaiting ends all waits before the host stops: requests on open flows are sent on, and SYNs that no
+// upstream has room for are rejected.
+func (c *Core) StopWaiting(now time.Duration) {
+	c.serveWaiting(now)
+	for _, w := range c.waiting.byKey {
+		if w.upstream != nil {
+			c.serve(now, w)
+			continue
+		}
+		c.endWait(now, w, "the host stops")
+	}
+}
--- a/internal/dsrhost/decide.go
+++ b/internal/dsrhost/decide.go
@@ -25,6 +25,10 @@
 	out   []netio.Datagram
 	reset []byte
 	log   recordLog
+	// waiting holds the packets that wait; timer runs while there are any.
+	waiting  waitingPackets
+	timer    *time.Timer
+	timerSet bool
 }
 
 // runCore runs the core until the context ends.
@@ -36,7 +40,7 @@
 	}
 	d := &coreLoop{
 		host: h, core: dsr.New(h.settings.Zone, h.deps.Format, xxhash.Sum64String(h.settings.Data.String())), writer: writer,
-		out: make([]netio.Datagram, 1), log: newRecordLog(h.deps.Logger, h.deps.LogOutput),
+		out: make([]netio.Datagram, 1), log: newRecordLog(h.deps.Logger, h.deps.LogOutput), waiting: newWaitingPackets(), timer: newStoppedTimer(),
 	}
 	defer h.checker.wait()
 	ticker := time.NewTicker(gaugeInterval)
@@ -54,10 +58,19 @@
 			h.stats.checks[d.core.CheckDone(h.elapsed(), r)].Inc()
 		case answer := <-h.stateRequests:
 			answer <- d.core.State(h.elapsed())
+		case <-d.timer.C:
+			d.timerSet = false
+			d.core.Advance(h.elapsed())
+		case done := <-h.stopWaits:
+			d.core.StopWaiting(h.elapsed())
+			d.sendReleased()
+			close(done)
 		case <-ticker.C:
 			d.updateGauges()
 			d.updatePosition()
 		}
+		d.sendReleased()
+		d.setTimer()
 		d.sendWaitingResets()
 		if d.core.TakeConfirmRequest() {
 			h.feed.requestConfirmation()
@@ -80,13 +93,21 @@
 	if e.Resync {
 		d.host.feed.requestResync()
 	}
+	d.carryOut(p.buffer[:overhead+p.size], overhead, head, e)
+}
+
+// carryOut carries out the decision on a packet, which follows after a number of free bytes.
+func (d *coreLoop) carryOut(b []byte, overhead int, head *dsr.Packet, e dsr.Effect) {
+	format := d.host.deps.Format
 	switch e.Action {
 	case dsr.Forward:
-		format.SetToken(body, e.Token)
-		format.PutTarget(p.buffer[:overhead], e.ID)
-		d.send(p.buffer[:overhead+p.size], e.To)
+		format.SetToken(b[overhead:], e.Token)
+		format.PutTarget(b[:overhead], e.ID)
+		d.send(b, e.To)
 	case dsr.Reset:
 		d.sendReset(head)
+	case dsr.Hold:
+		d.waiting.put(e.Hold, b)
 	}
 }
 
@@ -154,6 +175,9 @@
 func (d *coreLoop) updateGauges() {
 	s := d.host.stats
 	s.flows.Store(int64(d.core.Flows()))
+	requests, bytes := d.core.Waiting()
+	s.waiting.Store(int64(requests))
+	s.waitingBytes.Store(int64(bytes))
 	s.version.Store(int64(d.core.Version()))
 	s.configurationAge.Store(int64(d.core.ConfigurationAge(d.host.elapsed())))
 }
@@ -181,7 +205,7 @@
 
 // recordFields returns the fields of a record that are set.
 func recordFields(r *dsr.Record) []zap.Field {
-	fields := make([]zap.Field, 0, 18)
+	fields := make([]zap.Field, 0, 20)
 	addr := func(name string, a netip.AddrPort) {
 		if a.IsValid() {
 			fields = append(fields, zap.String(name, a.String()))
@@ -215,6 +239,10 @@
 	number("doubtful", uint64(r.Suspect))
 	number("open", uint64(r.Open))
 	number("waiting", uint64(r.Waiting))
+	number("rank", uint64(r.Rank))
+	if r.Waited != 0 {
+		fields = append(fields, zap.Int64("waited_ms", r.Waited.Milliseconds()))
+	}
 	if r.Slots != 0 {
 		fields = append(fields, zap.Float64("demand", r.Demand), zap.Float64("slots", r.Slots), zap.Int64("work_ms", r.Work.Milliseconds()))
 	}
--- a/internal/dsrhost/host.go
+++ b/internal/dsrhost/host.go
@@ -57,6 +57,8 @@
 	events  chan feedEvent
 	// stateRequests carries requests for the state to the core's goroutine.
 	stateRequests chan chan *dsr.State
+	// stopWaits requests that all waits end; the channel that it carries is closed when they have.
+	stopWaits chan chan struct{}
 	replica       *replica.Replica
 	translator    *translator
 	feed          *feed
@@ -83,6 +85,7 @@
 		packets:       ring.New[packet](packetRingSize),
 		events:        make(chan feedEvent, feedQueueSize),
 		stateRequests: make(chan chan *dsr.State),
+		stopWaits:     make(chan chan struct{}),
 	}
 	h.stats = newStats(d.LogOutput)
 	h.checker = newChecker(h.elapsed)
@@ -201,6 +204,7 @@
 	wait := min(rotationExitTime, max(h.settings.StopTimeout-stopReserve, 0))
 	h.log.Info("planned stop begins", zap.Duration("forwarding_for", wait))
 	sleep(ctx, wait)
+	h.stopWaiting(ctx)
 }
 
 // readPackets reads packets and queues them for the core. If the ring is full, they
--- a/internal/dsrhost/stats.go
+++ b/internal/dsrhost/stats.go
@@ -18,11 +18,13 @@
 	received, ringFull                   *metrics.Counter
 	sendFailed, malformedItems           *metrics.Counter
 	handshakeTimeouts, waitingFlowResets *metrics.Counter
-	handshakes, answers                  *metrics.Histogram
+	handshakes, answers, waits           *metrics.Histogram
 	packets                              map[dsr.Effect]*metrics.Counter
 	// checks counts checks of upstreams by what they say.
 	checks                           map[dsr.CheckOutcome]*metrics.Counter
 	flows, version, configurationAge atomic.Int64
+	// waiting and waitingBytes are the requests that wait and the bytes of their packets.
+	waiting, waitingBytes atomic.Int64
 }
 
 // Values of the metric label "op" for calls to the store.
@@ -46,6 +48,7 @@
 		handshakeTimeouts: set.NewCounter("mimosashore_dsr_unfinished_handshakes_total"),
 		handshakes:        set.NewHistogram("mimosashore_dsr_handshake_seconds"),
 		answers:           set.NewHistogram("mimosashore_dsr_answer_seconds"),
+		waits:             set.NewHistogram("mimosashore_dsr_wait_seconds"),
 		packets:           make(map[dsr.Effect]*metrics.Counter),
 	}
 	s.checks = make(map[dsr.CheckOutcome]*metrics.Counter)
@@ -53,6 +56,8 @@
 		s.checks[o] = set.NewCounter(fmt.Sprintf("mimosashore_dsr_checks_total{outcome=%q}", o))
 	}
 	set.NewGauge("mimosashore_dsr_flows", func() float64 { return float64(s.flows.Load()) })
+	set.NewGauge("mimosashore_dsr_waiting_requests", func() float64 { return float64(s.waiting.Load()) })
+	set.NewGauge("mimosashore_dsr_waiting_bytes", func() float64 { return float64(s.waitingBytes.Load()) })
 	set.NewGauge("mimosashore_dsr_configuration_age_seconds", func() float64 { return time.Duration(s.configurationAge.Load()).Seconds() })
 	set.NewGauge("mimosashore_dsr_configuration_version", func() float64 { return float64(s.version.Load()) })
 	if lines != nil {
@@ -108,6 +113,8 @@
 			s.handshakes.Update(x.Duration.Seconds())
 		case dsr.SampleAnswer:
 			s.answers.Update(x.Duration.Seconds())
+		case dsr.SampleWait:
+			s.waits.Update(x.Duration.Seconds())
 		case dsr.SampleHandshakeTimeout:
 			s.handshakeTimeouts.Inc()
 		}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -86,6 +86,19 @@
 // Waits reports whether the entry is in a queue.
 func (e *Entry[T]) Waits() bool { return e.line != nil }
 
+// FreeLen returns the number of waiting requests that may go to any upstream.
+func (q *Queue[T]) FreeLen() int { return len(q.free.entries) }
+
+// NextInLine removes and returns the highest ranked request of a line, or nil if it is empty.
+func (q *Queue[T]) NextInLine(now time.Duration, line *Line[T]) *Entry[T] {
+	if len(line.entries) == 0 {
+		return nil
+	}
+	e := line.entries[0]
+	q.Remove(e)
+	return e
+}
+
 // Remove removes an entry if it waits.
 func (q *Queue[T]) Remove(e *Entry[T]) {
 	if e.line == nil {
