schedule: order, fair share, rejection and outlook of waiting requests

Cause: the package held only the agreed interface, with requests served in the order of arrival. Change: heaps by priority and lateness for free requests and for each line; rounds by the waiting and recently dispatched requests of a caller; one dispatch in ten for the least urgent priority; an outlook from rank and the rate that more urgent requests and lower rounds leave. Request has the new field ArrivedAt (zero is the time of the call), Assessment the new field Rate. Requests on open flows expire at the deadline less the work. Proofs that failed first, each with its rule turned off: lateness, rounds, open flows first, margin, interval of reserved dispatches, moves of requests that turn late, judging anew, expiry, arrivals of lower rounds, part of the least urgent, lasting demand, late by deadline.

--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -4,22 +4,44 @@
 //
 // A Queue holds the waiting requests of one service at one host. Requests that may go to any upstream
 // wait in the queue itself, those bound to the upstream of an open flow in its Line.
+//
+// Requests are served by priority; within a priority, those that can be in time first; among these by
+// the fair share of their callers; then by the time left, the least first among those that can be in
+// time, and the most first among the others. The load patterns that this order and the
+// outlook answer, with the test that replays each:
+//
+//   - More is requested than the slots can do, but the urgent requests alone fit: they are in time
+//     (TestUrgentRequestsAreInTimeWhileDemandExceedsSlots).
+//   - Upstreams get slower while more is requested, so that most requests can't be served: the slots
+//     work on those that can be in time (TestSlotsWorkOnRequestsThatCanBeInTime).
+//   - One caller opens many flows: the others keep their share (TestCallerWithManyFlowsDoesNotDelayOthers).
+//   - Urgent requests alone exceed the slots: other priorities still get one dispatch in ten
+//     (TestNoPriorityStarves).
+//   - A burst that the slots can do within the latency objective: all requests wait and are in time
+//     (TestBurstThatDrainsIsInTime).
+//   - Some upstreams are several times slower: requests are not given up that the others can serve in
+//     time (TestRequestsAreInTimeWhileSomeUpstreamsAreSlow).
 package schedule
 
 import (
 	"net/netip"
 	"time"
+
+	"mimosashore.example/mimosashore/internal/list"
 )
 
 // Request is what the queue knows of a request.
 type Request struct {
 	// Caller is the address by which the fair share of callers is counted.
 	Caller netip.Addr
-	// Priority is that of the route; zero is the most urgent.
+	// Priority is that of the route; a lower one is more urgent.
 	Priority int
 	// Rejectable is set if the request can be rejected truthfully: no packet of it was forwarded.
 	Rejectable bool
-	// ObjectiveAt is when the latency objective passes, DeadlineAt when the caller gives up.
+	// ArrivedAt is when the request arrived; zero is the time of the call that it is passed to.
+	ArrivedAt time.Duration
+	// ObjectiveAt is when the latency objective passes, DeadlineAt when the caller gives up: the attempt
+	// to open a flow if Rejectable is set, otherwise the request.
 	ObjectiveAt, DeadlineAt time.Duration
 }
 
@@ -31,125 +53,113 @@
 	// WaitsSince is when the entry was added.
 	WaitsSince time.Duration
 
-	line *Line[T]
+	// line, class and caller are nil unless the entry waits.
+	line   *Line[T]
+	class  *class
+	caller *caller
+	// round is the place among the waiting and recently dispatched requests of its caller.
+	round int
+	// late is set once the request can't be in time any more.
+	late bool
+	// yields is set if an equal request that can't be rejected goes first.
+	yields bool
+	// sequence is the order of arrival.
+	sequence uint64
+	// position is one more than the index in each heap, or zero.
+	position [heapKinds]int32
 }
 
+// Waits reports whether the entry is in a queue.
+func (e *Entry[T]) Waits() bool { return e.line != nil }
+
 // Line holds the waiting requests that are bound to one upstream. The zero value is empty.
 type Line[T any] struct {
-	entries []*Entry[T]
+	size int
+	// groups is ordered by priority, the most urgent first.
+	groups []group[T]
 }
 
-// Len returns the number of requests in the line.
-func (l *Line[T]) Len() int { return len(l.entries) }
-
-// Supply is what the upstreams that a host may use can do.
-type Supply struct {
-	// Rate is the number of slots that get free per second, Work the time that a request takes one.
-	Rate float64
-	Work time.Duration
-	// Lasting is set while the demand exceeds the supply for longer than requests can wait.
-	Lasting bool
+// group holds the requests of one priority in a line.
+type group[T any] struct {
+	priority int
+	// inTime holds the requests that can be in time, late the others.
+	inTime, late heap[rank, T]
+	counts       rankCounts
 }
 
-// Assessment is the outlook of a request that would have to wait.
-type Assessment struct {
-	// Rank is the number of requests that go before it, Wait the expected time until it takes a slot.
-	Rank int
-	Wait time.Duration
-	// InTime is set if it is expected to meet its latency objective, Served if it is expected to be
-	// served before its deadline.
-	InTime, Served bool
+// Len returns the number of requests in the line.
+func (l *Line[T]) Len() int { return l.size }
+
+// group returns the group of a priority. It is valid until the next call.
+func (l *Line[T]) group(priority int) *group[T] {
+	i := 0
+	for i < len(l.groups) && l.groups[i].priority < priority {
+		i++
+	}
+	if i == len(l.groups) || l.groups[i].priority != priority {
+		l.groups = append(l.groups, group[T]{})
+		copy(l.groups[i+1:], l.groups[i:])
+		l.groups[i] = group[T]{priority: priority}
+	}
+	return &l.groups[i]
 }
 
 // Queue holds the waiting requests of a service.
 type Queue[T any] struct {
 	free Line[T]
-	size int
+	// classes is ordered by priority, the most urgent first.
+	classes []*class
+	// lateness, expiry and lowest hold all requests, lateness only those that can be in time: by the
+	// time until which they can, by their deadline, and the lowest rank first.
+	lateness, expiry heap[moment, T]
+	lowest           heap[reversed, T]
+	work             workEstimate
+	sequence         uint64
+	// passedOver is the number of dispatches, since the last reserved one, for which a less urgent
+	// request that could be in time had to wait.
+	passedOver int
+	// now is the time of the last call that was given one.
+	now time.Duration
 }
 
 // New returns an empty queue.
-func New[T any]() *Queue[T] { return &Queue[T]{} }
-
-// Len returns the number of waiting requests, those in lines included.
-func (q *Queue[T]) Len() int { return q.size }
-
-// Add adds a request that waits for any upstream, or for that of the line if it is not nil.
-func (q *Queue[T]) Add(now time.Duration, e *Entry[T], line *Line[T]) {
-	if line == nil {
-		line = &q.free
-	}
-	e.WaitsSince, e.line = now, line
-	line.entries = append(line.entries, e)
-	q.size++
-}
-
-// Waits reports whether the entry is in a queue.
-func (e *Entry[T]) Waits() bool { return e.line != nil }
-
-// Remove removes an entry if it waits.
-func (q *Queue[T]) Remove(e *Entry[T]) {
-	if e.line == nil {
-		return
-	}
-	for i, x := range e.line.entries {
-		if x == e {
-			e.line.entries = append(e.line.entries[:i], e.line.entries[i+1:]...)
-			break
-		}
+func New[T any]() *Queue[T] {
+	return &Queue[T]{
+		lateness: heap[moment, T]{kind: byLateness},
+		expiry:   heap[moment, T]{kind: byExpiry},
+		lowest:   heap[reversed, T]{kind: byLowest},
 	}
-	e.line = nil
-	q.size--
 }
 
-// Next removes and returns the request that takes a slot at the upstream of the line: the highest
-// ranked of those in the line and of those that may go to any upstream. It returns nil if none waits.
-// If line is nil, only requests that may go to any upstream are considered. The work is the time that
-// a request takes a slot; zero is unknown.
-func (q *Queue[T]) Next(now time.Duration, line *Line[T], work time.Duration) *Entry[T] {
-	for _, l := range []*Line[T]{line, &q.free} {
-		if l != nil && len(l.entries) > 0 {
-			e := l.entries[0]
-			q.Remove(e)
-			return e
-		}
-	}
-	return nil
-}
-
-// Assess returns the outlook of a request that would have to wait if it were added now.
-func (q *Queue[T]) Assess(now time.Duration, r Request, line *Line[T], s Supply) Assessment {
-	a := Assessment{Rank: q.size}
-	if s.Rate > 0 {
-		a.Wait = time.Duration(float64(a.Rank+1) / s.Rate * float64(time.Second))
-	}
-	a.InTime = now+a.Wait+s.Work <= r.ObjectiveAt
-	a.Served = a.InTime || !s.Lasting && now+a.Wait+s.Work <= r.DeadlineAt
-	return a
+// Len returns the number of waiting requests, those in lines included.
+func (q *Queue[T]) Len() int { return q.expiry.len() }
+
+// class is what a queue knows of a priority.
+type class struct {
+	priority int
+	counts   rankCounts
+	// arrivals counts the requests that were added.
+	arrivals arrivals
+	callers  callers
 }
 
-// Expired removes and returns a request whose deadline has passed; nil if there is none.
-func (q *Queue[T]) Expired(now time.Duration) *Entry[T] {
-	for _, e := range q.free.entries {
-		if e.DeadlineAt <= now {
-			q.Remove(e)
-			return e
-		}
+// class returns the class of a priority.
+func (q *Queue[T]) class(priority int) *class {
+	i := 0
+	for i < len(q.classes) && q.classes[i].priority < priority {
+		i++
 	}
-	return nil
-}
-
-// NextExpiry returns the earliest deadline of a waiting request, and false if none waits.
-func (q *Queue[T]) NextExpiry() (time.Duration, bool) {
-	if len(q.free.entries) == 0 {
-		return 0, false
+	if i == len(q.classes) || q.classes[i].priority != priority {
+		q.classes = append(q.classes, nil)
+		copy(q.classes[i+1:], q.classes[i:])
+		q.classes[i] = &class{priority: priority, callers: newCallers()}
 	}
-	return q.free.entries[0].DeadlineAt, true
+	return q.classes[i]
 }
 
-// Lowest returns the request of the lowest rank, or nil if none waits. It stays in the queue.
-func (q *Queue[T]) Lowest() *Entry[T] {
-	if n := len(q.free.entries); n > 0 {
-		return q.free.entries[n-1]
+func newCallers() callers {
+	return callers{
+		byAddr: make(map[netip.Addr]*caller),
+		idle:   list.New(func(c *caller) *list.Links[caller] { return &c.links }),
 	}
-	return nil
 }
