--- a/internal/dsr/choose.go
+++ b/internal/dsr/choose.go
@@ -123,7 +123,10 @@
 	s := ch.state
 	if s.schedules() {
 		if u.share == 0 {
-			return spills && float64(u.busy+u.opening) < u.learnedLimit(now)
+			if u.hasCredit(now) {
+				return true
+			}
+			return spills && !c.hasOwn(now, s) && float64(u.busy+u.opening) < u.learnedLimit(now)
 		}
 		return c.hasRoom(now, s, u)
 	}
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -97,6 +97,7 @@
 	lastCheck    uint64
 	wantedChecks []Check
 
+	asks    []Ask
 	records []Record
 	samples []Sample
 	// resets holds flows to reset other than that of the current packet.
@@ -272,6 +273,9 @@
 	}
 	f.upstream, f.route = choice.upstream, r
 	f.upstream.pacer.AdmittedAt = now
+	if f.upstream.hasCredit(now) {
+		f.upstream.credits--
+	}
 	if f.upstream.share == 0 {
 		s.spill.AdmittedAt = now
 	}
@@ -291,7 +295,7 @@
 		return c.waitOrReject(now, p, r, ch)
 	}
 	if ch.reason == ReasonPaced && !scheduled && p.SYNRetransmits == 0 && f == nil {
-		if ch.state.overloaded(now, ch.class) {
+		if c.overloaded(now, ch.state, ch.class) {
 			ch.state.refused(now, ch.class)
 			c.emitOpening("flow refused", now, p, r, ch, ReasonOverloaded)
 			return Effect{Action: Reset, Reason: ReasonOverloaded}
--- a/internal/dsr/flows.go
+++ b/internal/dsr/flows.go
@@ -68,6 +68,10 @@
 	synRetransmits int
 	// spilled is set while the request is counted in the spilled ones of the service.
 	spilled bool
+	// countedAsked is set if the next request is counted as demand already.
+	countedAsked bool
+	// expected is set from the handshake to the first request, which has its slot already.
+	expected bool
 	// answered is set once a request on the flow was answered.
 	answered bool
 	// unqueued is set if the upstream had a free slot when the request in progress was seen.
@@ -162,6 +166,7 @@
 		u.service.flows--
 	}
 	f.phase = to
+	f.expected = f.expected && to == phaseBusy
 	if (to == phaseOpening || to == phaseBusy) && u.busy+u.opening == 0 {
 		u.busySince = now
 	}
--- a/internal/dsr/loadworld_test.go
+++ b/internal/dsr/loadworld_test.go
@@ -18,6 +18,7 @@
 	loadTransit       = time.Millisecond
 	storeRoundTrip    = 5 * time.Millisecond
 	loadAttemptTime   = 1400 * time.Millisecond
+	lendTransit       = 300 * time.Microsecond
 	loadRetransmit    = 200 * time.Millisecond
 	loadRetransmitMax = 1600 * time.Millisecond
 	loadQueuePerSlot  = 5
@@ -297,6 +298,7 @@
 		delete(w.held[c], r.Hold)
 		then(r.Effect)
 	}
+	w.carryAsks(c)
 	at, ok := c.NextEvent(w.Now())
 	if !ok || w.due[c] {
 		return
@@ -309,6 +311,41 @@
 	})
 }
 
+// carryAsks carries requests for credits to two other hosts, of the same zone at first, and the answers back.
+func (w *loadWorld) carryAsks(c *Core) {
+	for _, a := range append([]Ask(nil), c.TakeAsks()...) {
+		for range 2 {
+			lender := w.otherHost(c, a.Denials)
+			if lender == nil {
+				continue
+			}
+			w.After(lendTransit, func() {
+				credits := append([]Credit(nil), lender.Lend(w.Now(), a.Service, a.Wanted)...)
+				w.After(lendTransit, func() {
+					c.Borrow(w.Now(), a.At, a.Service, credits)
+					w.settle(c)
+				})
+			})
+		}
+	}
+}
+
+// otherHost returns a random other host: of the same zone, or of any after two denials.
+func (w *loadWorld) otherHost(c *Core, denials int) *Core {
+	var hosts []*Core
+	for z, all := range w.zones {
+		for _, h := range all {
+			if h != c && (denials >= 2 || c.zone == fmt.Sprint("zone", z)) {
+				hosts = append(hosts, h)
+			}
+		}
+	}
+	if len(hosts) == 0 {
+		return nil
+	}
+	return hosts[w.random.IntN(len(hosts))]
+}
+
 // send passes a packet of the flow to its host. The function then gets the effect, at once or after a wait.
 func (f *loadFlow) send(flags, synRetransmits byte, length int, then func(Effect)) {
 	var b [24]byte
--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -31,7 +31,12 @@
 		c.samples = append(c.samples, Sample{SampleHandshake, f.handshake})
 		c.onAnswer(now, f.openedAt, u)
 		f.progressAt = now
-		c.cache.setPhase(now, f, phaseIdle)
+		if f.expected = u.service.schedules(); f.expected {
+			// The first request follows at once. Its slot is kept meanwhile.
+			c.cache.setPhase(now, f, phaseBusy)
+		} else {
+			c.cache.setPhase(now, f, phaseIdle)
+		}
 	}
 	if p.RST {
 		c.cache.setPhase(now, f, phaseClosed)
@@ -45,7 +50,7 @@
 			f.resetAt = 0
 			c.cache.setPhase(now, f, phaseIdle)
 		}
-		if f.phase == phaseBusy {
+		if f.phase == phaseBusy && !f.expected {
 			f.answered = true
 			c.addLatencySample(now, f, now-f.busyAt)
 			c.cache.setPhase(now, f, phaseIdle)
@@ -67,7 +72,8 @@
 		return
 	}
 	f.nextSeq, f.pending = nextSeq, true
-	if f.phase == phaseIdle {
+	if f.phase == phaseIdle || f.expected {
+		f.expected = false
 		c.observeRequest(now, f)
 		c.cache.setPhase(now, f, phaseBusy)
 		f.progressAt = now
@@ -87,6 +93,11 @@
 	if f.answered {
 		s.repeats.Asked(now)
 	}
+	if f.countedAsked {
+		// The request waited and was counted when it arrived.
+		f.countedAsked = false
+		return
+	}
 	if f.upstream.share > 0 || len(s.own) == 0 {
 		s.asked(now, loadcontrol.Class{Urgent: f.route != nil && f.route.Priority < s.lowestPriority})
 	}
@@ -111,7 +122,11 @@
 	s := u.service
 	// The mean of a service covers more samples than that of one upstream.
 	s.latency = ewma(s.latency, seconds)
-	if u.share == 0 {
+	switch {
+	case u.share != 0:
+	case s.schedules():
+		s.spill.AddDelay(now, max(d-f.handshake, minWork), s.work.Mean())
+	default:
 		s.spill.AddLatency(now, d, s.work.Mean(), s.latencyObjective)
 	}
 	if f.unqueued && !c.linkMonitor.recentlyDegraded(now) {
--- a/internal/dsr/service.go
+++ b/internal/dsr/service.go
@@ -34,6 +34,8 @@
 	// deadline is the longest deadline of the routes to the service; zero if a route declares none, or no
 	// latency objective.
 	deadline time.Duration
+	// asker decides when to ask other hosts for slots.
+	asker loadcontrol.Asker
 	// queue holds the requests that wait at this host.
 	queue *schedule.Queue[*waitingRequest]
 
@@ -83,14 +85,22 @@
 	}
 }
 
+// rejected records that a request that was recorded as asked is rejected.
+func (s *service) rejected(now time.Duration, class loadcontrol.Class) {
+	s.demand.Rejected(now)
+	if class.Urgent {
+		s.urgentDemand.Rejected(now)
+	}
+}
+
 // overloaded reports whether a caller that has to wait would not be served. Urgent callers compete
 // with urgent ones only.
-func (s *service) overloaded(now time.Duration, class loadcontrol.Class) bool {
+func (c *Core) overloaded(now time.Duration, s *service, class loadcontrol.Class) bool {
 	d := &s.demand
 	if class.Urgent {
 		d = &s.urgentDemand
 	}
-	return d.Exceeds(now, s.ownSlots, s.work.Mean(), s.waiting)
+	return d.Exceeds(now, c.answeringSlots(now, s), s.work.Mean(), s.waiting+s.queue.Len())
 }
 
 // SetPosition sets the place of this host among the hosts of its zone.
@@ -125,16 +135,34 @@
 		}
 	}
 	if len(local) == 0 {
-		s.ownSlots = c.partOfAllSlots(s)
+		s.ownSlots = c.partOfAllSlots(s, (*upstream).usable)
+	}
+}
+
+// answeringSlots returns the slots that this host is responsible for at upstreams that are not suspect. If
+// there are none, it is this host's part of all others.
+func (c *Core) answeringSlots(now time.Duration, s *service) float64 {
+	if !s.schedules() {
+		return s.ownSlots
+	}
+	slots := 0.0
+	for _, u := range s.own {
+		if !u.suspect(now) {
+			slots += u.share * u.learnedLimit(now)
+		}
+	}
+	if slots > 0 {
+		return slots
 	}
+	return c.partOfAllSlots(s, func(u *upstream) bool { return u.usable() && !u.suspect(now) })
 }
 
-// partOfAllSlots returns this host's part of the slots of a service if each zone, and each host of it,
-// had an equal one.
-func (c *Core) partOfAllSlots(s *service) float64 {
+// partOfAllSlots returns this host's part of the slots of a service at the upstreams that are accepted, if
+// each zone, and each host of it, had an equal one.
+func (c *Core) partOfAllSlots(s *service, accepted func(*upstream) bool) float64 {
 	slots := 0
 	for _, u := range s.upstreams {
-		if u.usable() {
+		if accepted(u) {
 			slots += u.Slots
 		}
 	}
--- a/internal/dsr/waiting.go
+++ b/internal/dsr/waiting.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mimosashore.example/mimosashore/internal/list"
 	"mimosashore.example/mimosashore/internal/loadcontrol"
 	"mimosashore.example/mimosashore/internal/schedule"
 )
@@ -51,6 +52,7 @@
 	upstream *upstream
 	class    loadcontrol.Class
 	since    time.Duration
+	links    list.Links[waitingRequest]
 	rank     int
 	packets  []waitingPacket
 	bytes    int
@@ -69,14 +71,21 @@
 	last  HoldID
 	// services holds those with waiting requests.
 	services map[*service]struct{}
-	releases []Release
-	free     []*waitingRequest
+	// rejectable holds the SYNs that can be rejected in the order of their arrival: those that are not
+	// urgent, and the urgent ones.
+	rejectable [2]list.List[waitingRequest]
+	releases   []Release
+	free       []*waitingRequest
 	// draining is set while waiting requests are released, so that their packets are not held again.
 	draining bool
 }
 
 func newWaiting() waiting {
-	return waiting{byKey: make(map[flowKey]*waitingRequest), services: make(map[*service]struct{})}
+	links := func(w *waitingRequest) *list.Links[waitingRequest] { return &w.links }
+	return waiting{
+		byKey: make(map[flowKey]*waitingRequest), services: make(map[*service]struct{}),
+		rejectable: [2]list.List[waitingRequest]{list.New(links), list.New(links)},
+	}
 }
 
 // schedules reports whether requests of the service wait at the host: its routes declare when an
@@ -97,9 +106,13 @@
 	return limit
 }
 
-// hasRoom reports whether another request of this host may be sent to an upstream that it is responsible for.
+// hasRoom reports whether another request of this host may be sent to an upstream. The load of those that
+// other hosts are responsible for is not known; all of them together have a window.
 func (c *Core) hasRoom(now time.Duration, s *service, u *upstream) bool {
-	return u.pacer.Admits(now, float64(u.busy+u.opening), c.limitAt(now, s, u), loadcontrol.Class{}, u.learnedWork(now))
+	if u.share == 0 {
+		return s.spill.Admits(now, s.spilled, loadcontrol.Class{}) && float64(u.busy+u.opening) < u.learnedLimit(now)
+	}
+	return u.pacer.Admits(now, float64(u.busy+u.opening+u.lender.Lent(now)), c.limitAt(now, s, u), loadcontrol.Class{}, u.learnedWork(now))
 }
 
 // stalled reports whether the upstream has not answered for so long that requests must not wait for it.
@@ -133,7 +146,7 @@
 	s := u.service
 	// The first request of a flow takes the slot that was kept for it when the flow was opened.
 	isRequest := f.phase == phaseIdle && f.answered && !f.pending && int32(p.Seq+uint32(p.Length)-f.nextSeq) > 0
-	if !isRequest || !s.schedules() || u.share == 0 || u.gone || f.route == nil {
+	if !isRequest || !s.schedules() || u.gone || f.route == nil {
 		return Effect{}, false
 	}
 	if u.line.Len() == 0 && c.hasRoom(now, s, u) || u.stalled(now) {
@@ -196,8 +209,12 @@
 	if w.upstream != nil {
 		line = &w.upstream.line
 	}
+	w.service.asked(now, w.class)
 	w.service.queue.Add(now, &w.entry, line)
 	c.waiting.byKey[w.key] = w
+	if w.entry.Rejectable {
+		c.waiting.rejectable[classIndex(w.class.Urgent)].Push(w)
+	}
 	c.waiting.services[w.service] = struct{}{}
 	return c.keepPacket(w, p, reason)
 }
@@ -230,6 +247,7 @@
 // forget removes a request from all that waits. Its packets are still to be released.
 func (c *Core) forget(w *waitingRequest) {
 	w.service.queue.Remove(&w.entry)
+	c.waiting.rejectable[classIndex(w.class.Urgent)].Remove(w)
 	delete(c.waiting.byKey, w.key)
 	c.waiting.bytes -= w.bytes
 	if w.service.queue.Len() == 0 {
@@ -265,7 +283,9 @@
 		e = Effect{Action: Reset, Reason: ReasonOverloaded}
 	}
 	s := w.service
-	s.asked(now, w.class)
+	if w.entry.Rejectable {
+		s.rejected(now, w.class)
+	}
 	c.emit(Record{
 		Event: "request not served", Action: e.Action, Caller: w.key.caller, Address: w.key.service, Service: s.name, Detail: cause, Version: c.version,
 		Rank: w.rank, Waiting: s.queue.Len(), Waited: now - w.since, Demand: s.demand.Rate(now), Slots: s.ownSlots, Work: s.work.Mean(),
@@ -289,11 +309,17 @@
 		if p.SYN {
 			e = c.handleSYN(now, p)
 		} else {
+			if f := c.cache.flows[w.key]; f != nil && i == 0 {
+				f.countedAsked = true
+			}
 			e = c.routePacket(now, p)
 		}
 		c.release(w, i, e)
 	}
 	c.waiting.draining = false
+	if f := c.cache.flows[w.key]; f != nil && w.upstream == nil {
+		f.countedAsked = true
+	}
 	rec := Record{
 		Event: "request waited", Action: e.Action, Caller: w.key.caller, Address: w.key.service, Service: w.service.name, Detail: e.Reason.String(),
 		Token: e.Token, To: e.To, Rank: w.rank, Waiting: w.service.queue.Len(), Waited: now - w.since,
@@ -328,10 +354,17 @@
 		c.computeShares(s)
 	}
 	for _, u := range s.upstreams {
-		if u.line.Len() > 0 && (u.share == 0 || u.stalled(now) || !u.usable()) {
+		if u.line.Len() == 0 {
+			continue
+		}
+		if u.stalled(now) || u.gone {
 			c.releaseLine(now, s, u)
 		}
+		for u.share == 0 && u.line.Len() > 0 && c.hasRoom(now, s, u) {
+			c.serve(now, s.queue.NextInLine(now, &u.line).Value)
+		}
 	}
+	c.rejectLate(now, s)
 	work := s.work.Mean()
 	for served := true; served && s.queue.Len() > 0; {
 		served = false
@@ -345,7 +378,8 @@
 			}
 		}
 	}
-	for s.queue.FreeLen() > 0 && s.spill.Admits(now, s.spilled, loadcontrol.Class{}) && c.hasForeign(now, s) {
+	c.askForCredits(now, s)
+	for !c.hasOwn(now, s) && s.queue.FreeLen() > 0 && s.spill.Admits(now, s.spilled, loadcontrol.Class{}) && c.hasForeign(now, s) {
 		e := s.queue.Next(now, nil, work)
 		if e == nil {
 			break
@@ -354,10 +388,51 @@
 	}
 }
 
+// rejectLate rejects SYNs that can't be in time any more while the service is overloaded: requests that
+// can be in time take all slots. The same holds where only upstreams of other hosts are left, since nobody
+// knows when they have room.
+func (c *Core) rejectLate(now time.Duration, s *service) {
+	borrows := !c.hasOwn(now, s)
+	for _, urgent := range []bool{false, true} {
+		if !borrows && !c.overloaded(now, s, loadcontrol.Class{Urgent: urgent}) {
+			continue
+		}
+		next := c.waiting.rejectable[classIndex(urgent)].First()
+		for w := next; w != nil; w = next {
+			next = w.links.Next()
+			if w.service != s {
+				continue
+			}
+			if !s.queue.Late(now, &w.entry) {
+				break
+			}
+			c.endWait(now, w, "overloaded")
+		}
+	}
+}
+
+// classIndex returns the index of the list of waiting requests of a class.
+func classIndex(urgent bool) int {
+	if urgent {
+		return 1
+	}
+	return 0
+}
+
+// hasOwn reports whether an upstream that this host is responsible for can take flows.
+func (c *Core) hasOwn(now time.Duration, s *service) bool {
+	for _, u := range s.own {
+		if !u.suspect(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // hasForeign reports whether an upstream that other hosts are responsible for can take a flow.
 func (c *Core) hasForeign(now time.Duration, s *service) bool {
 	for _, u := range s.upstreams {
-		if u.share == 0 && u.usable() && !u.suspect(now) {
+		if u.share == 0 && u.usable() && !u.suspect(now) && float64(u.busy+u.opening) < u.learnedLimit(now) {
 			return true
 		}
 	}
@@ -381,9 +456,9 @@
 func (c *Core) waitOrReject(now time.Duration, p *Packet, r *route, ch choice) Effect {
 	s := ch.state
 	q := c.waitingRequestOf(now, p, r, true)
-	supply := schedule.Supply{Work: s.work.Mean(), Lasting: s.overloaded(now, ch.class)}
+	supply := schedule.Supply{Work: s.work.Mean(), Lasting: c.overloaded(now, s, ch.class)}
 	if supply.Work > 0 {
-		supply.Rate = s.ownSlots / supply.Work.Seconds()
+		supply.Rate = c.answeringSlots(now, s) / supply.Work.Seconds()
 	}
 	a := s.queue.Assess(now, q, nil, supply)
 	if q.Rejectable && supply.Rate > 0 && !a.Served {
--- a/internal/dsrhost/host.go
+++ b/internal/dsrhost/host.go
@@ -58,11 +58,11 @@
 	// stateRequests carries requests for the state to the core's goroutine.
 	stateRequests chan chan *dsr.State
 	// stopWaits requests that all waits end; the channel that it carries is closed when they have.
-	stopWaits chan chan struct{}
-	replica       *replica.Replica
-	translator    *translator
-	feed          *feed
-	checker       *checker
+	stopWaits  chan chan struct{}
+	replica    *replica.Replica
+	translator *translator
+	feed       *feed
+	checker    *checker
 	// peer is nil if the host has no control address.
 	peer *dsrpeer.Peer
 }
--- a/internal/loadcontrol/demand.go
+++ b/internal/loadcontrol/demand.go
@@ -32,9 +32,12 @@
 // Refused records an attempt that was refused.
 func (d *Demand) Refused(now time.Duration) { d.add(now, refusedWeight) }
 
+// Rejected records that a request that was recorded as asked is rejected after all.
+func (d *Demand) Rejected(now time.Duration) { d.add(now, refusedWeight-1) }
+
 func (d *Demand) add(now time.Duration, weight float64) {
 	d.decay(now)
-	d.weight += weight
+	d.weight = max(0, d.weight+weight)
 }
 
 func (d *Demand) decay(now time.Duration) {
