--- a/internal/schedule/line.go
+++ b/internal/schedule/line.go
@@ -8,7 +8,7 @@
 // NextInLine removes and returns the highest ranked request of a line, or nil if it is empty.
 func (q *Queue[T]) NextInLine(now time.Duration, line *Line[T]) *Entry[T] {
 	q.settle(now)
-	e := line.first(now, 0)
+	e := line.first()
 	if e != nil {
 		q.Remove(e)
 	}
