dsr: learned limit and work of an upstream, for the free capacity

Cause: the limit of an upstream is its declared slots everywhere, and waiting requests need one that is learned. Change: learnedLimit and learnedWork of an upstream, used by admits and shown in the state. The estimate behind them is still the trivial one, so the limit is the slots and the work is the service's mean times the slowdown, as before. Measured: the tests of internal/dsr and internal/dsrhost pass.

--- a/internal/dsr/choose.go
+++ b/internal/dsr/choose.go
@@ -116,19 +116,19 @@
 
 // admits reports whether another flow may be opened at an upstream.
 func admits(now time.Duration, ch *choice, u *upstream, objective time.Duration, spills bool) bool {
-	s := ch.state
-	slots := u.share * float64(u.Slots)
+	limit := u.learnedLimit(now)
+	slots := u.share * limit
 	if u.share == 0 {
 		if !spills {
 			return false
 		}
-		slots = float64(u.Slots)
+		slots = limit
 	}
 	open := float64(u.busy + u.opening)
 	if !ch.class.Urgent {
 		open += ch.repeatLoad * float64(u.flows-u.busy)
 	}
-	work := time.Duration(float64(s.work.Mean()) * u.slowdown(now, s))
+	work := u.learnedWork(now)
 	return u.pacer.Admits(now, open, loadcontrol.Limit(slots, work, objective), ch.class, work)
 }
 
--- a/internal/dsr/service.go
+++ b/internal/dsr/service.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"mimosashore.example/mimosashore/internal/capacity"
 	"mimosashore.example/mimosashore/internal/loadcontrol"
 )
 
@@ -21,6 +22,8 @@
 	latency float64
 	// work is the time from request to answer at upstreams with a free slot, without the transit.
 	work loadcontrol.Work
+	// peers is what the upstreams have in common, against which the capacity of each is judged.
+	peers capacity.Group
 	// flows is the number of open flows of this host, repeats the demand of their requests after the
 	// first.
 	flows   int
--- a/internal/dsr/state.go
+++ b/internal/dsr/state.go
@@ -59,6 +59,10 @@
 	// Share is the part of the upstream that this host is responsible for.
 	Share     float64 `json:"share"`
 	LatencyMs float64 `json:"latency_ms"`
+	// LearnedLimit is the number of requests that the upstream takes well at a time, LearnedWorkMs the
+	// time that one takes then.
+	LearnedLimit  float64 `json:"learned_limit"`
+	LearnedWorkMs float64 `json:"learned_work_ms"`
 	// LastAnswerAgeMs is the time since the upstream last answered; -1 if it never has.
 	LastAnswerAgeMs int64 `json:"life_ms"`
 }
@@ -105,6 +109,7 @@
 		Key: u.Key, Service: u.Service, Zone: u.Zone, To: u.Addr.String(), Token: u.token, Era: uint64(u.Era), Revision: uint64(u.Revision),
 		Status: u.status(), Suspicion: u.suspicion(now), Opening: u.opening, Busy: u.busy, Flows: u.flows,
 		Share: u.share, LatencyMs: u.latency * 1000, LastAnswerAgeMs: -1,
+		LearnedLimit: u.learnedLimit(now), LearnedWorkMs: u.learnedWork(now).Seconds() * 1000,
 	}
 	if u.lastAnswerAt != 0 {
 		s.LastAnswerAgeMs = (now - u.lastAnswerAt).Milliseconds()
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mimosashore.example/mimosashore/internal/capacity"
 	"mimosashore.example/mimosashore/internal/directory"
 	"mimosashore.example/mimosashore/internal/loadcontrol"
 )
@@ -73,6 +74,8 @@
 	latency   float64
 	latencyAt time.Duration
 	pacer     loadcontrol.Pacer
+	// learned is what the answers to this host say of the capacity of the upstream.
+	learned capacity.Estimate
 	// rank orders the upstreams of a service in the same way on all hosts.
 	rank uint64
 	// share is the part of the upstream that this host is responsible for.
