dsr, capacity: learned work and limit of each upstream

Cause: a slow upstream was found by a moving average of its latency, in relation to the service's mean, which half of the upstreams being slow moves as well; its limit was its slots, and its slowness was forgotten with time only. Change: package capacity holds a filter over work times and knees for each upstream, fed by the acknowledgements of answers, by requests that are unanswered for three times the work of the peers, and by rejections. It replaces latency and slowdown of an upstream in the choice and in admits; latency_ms of the state becomes learned_limit, learned_work_ms and judgement. A line is logged when a judgement changes.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -1,9 +1,38 @@
 // Package capacity estimates for each upstream of a service how many requests it takes well at a time
 // and how long one takes then, from what a host sees of its own requests. It has no clock, sockets or
 // goroutines: each call is given the time as the duration since the start of the host.
+//
+// An Estimate is a Bayesian filter over pairs of a work time and a knee, the number of requests above
+// which an upstream gets slower in proportion. Each answer weighs the pairs by how likely they made it
+// take as long as it did, and with time some weight returns to the usual pair. The likelihood has a heavy
+// tail, so a few slow answers are needed where one can be chance, and one fast answer shows recovery.
+//
+// A Group holds the work of the peers that an upstream is judged against.
 package capacity
 
-import "time"
+import (
+	"math"
+	"time"
+)
+
+const (
+	// slowFactor is the multiple of the reference above which an upstream is judged slow, with the
+	// weight slowWeight of the pairs above it. The judgement ends below usualWeight.
+	slowFactor  = 1.4
+	slowWeight  = 0.97
+	usualWeight = 0.5
+	// minSlowness is the least multiple of the reference of the mean work of a slow upstream.
+	minSlowness = 1.5
+	// kneeWeight is the weight of the pairs with a knee below the slots that lowers the limit.
+	kneeWeight = 0.9
+	// minSamples is the number of samples from which on an estimate counts as a peer.
+	minSamples = 3
+	// staleTime is the time without samples after which an estimate says nothing any more.
+	staleTime = 30 * time.Second
+	// sameCallerWeight is the weight of a slow answer to the caller of the last slow one: a link that
+	// loses packets delays answers to one caller.
+	sameCallerWeight = 0.5
+)
 
 // Sample is a request that was answered.
 type Sample struct {
@@ -12,28 +41,192 @@
 	// Transit is the part of the time that was spent on the way; zero is unknown.
 	Transit time.Duration
 	// InProgress is the number of requests of this host in progress at the upstream at the start, this one
-	// included.
+	// included; zero is unknown.
 	InProgress int
 	// Retransmitted is set if the caller sent a packet of the request again.
 	Retransmitted bool
+	// ResentAt is when the caller last sent a packet of the request again; zero is unknown.
+	ResentAt time.Duration
+	// Counted is the time without an answer that Pending has counted already.
+	Counted time.Duration
+	// AtMost is set if the answer may have come earlier: it was acknowledged with the next request.
+	AtMost bool
+	// Caller identifies the caller; zero is unknown.
+	Caller uint64
 }
 
-// Group holds what the upstreams of a service have in common. The zero value is ready to use.
-type Group struct{}
+// Evidence is what an estimate was last changed by.
+type Evidence uint8
+
+// Kinds of evidence.
+const (
+	EvidenceNone Evidence = iota
+	EvidenceAnswer
+	EvidencePending
+	EvidenceShed
+	evidenceCount
+)
+
+var evidenceNames = [evidenceCount]string{"", "answers compared with those of peers", "requests unanswered for several times the usual work", "rejected requests"}
+
+// String returns the evidence as it appears in logs.
+func (k Evidence) String() string { return evidenceNames[k] }
 
-// Estimate is what one upstream takes. The zero value is an upstream without samples.
+// Estimate is what one upstream takes. The zero value and nil are an upstream without samples.
 type Estimate struct {
-	work time.Duration
+	filter filter
+	// work is the mean work, limit the knee.
+	work  time.Duration
+	limit int
+	slow  bool
+	// slowSince is when the first of the latest slow requests was sent; zero if the last was not slow.
+	slowSince  time.Duration
+	lastSlow   uint64
+	samples    int
+	updatedAt  time.Duration
+	evidence   Evidence
+	peerNumber int
 }
 
 // Add adds a sample of an upstream of the group with the given slots.
-func (e *Estimate) Add(now time.Duration, g *Group, slots int, s Sample) { e.work = s.End - s.Start }
+func (e *Estimate) Add(now time.Duration, g *Group, slots int, s Sample) {
+	took := max(s.End-s.Start-s.Transit, minWork)
+	o := observation{kind: observedExactly, inProgress: s.InProgress, high: logWork(took), weight: 1}
+	if s.Counted > 0 {
+		o.counted, o.isCounted = logWork(max(s.Counted-s.Transit, minWork)), true
+	}
+	if s.AtMost {
+		o.kind, o.low, o.isCounted = observedBetween, 0, false
+	}
+	if s.Retransmitted {
+		if s.ResentAt <= s.Start {
+			return
+		}
+		// The request may have arrived with the first packet, or not before the last one.
+		o.kind, o.isCounted = observedBetween, false
+		if !s.AtMost {
+			o.low = logWork(max(s.End-s.ResentAt-s.Transit, minWork))
+		}
+	}
+	slow := o.kind == observedExactly && g.isSlow(took, s.InProgress, slots)
+	if slow && s.Caller != 0 && s.Caller == e.lastSlow {
+		o.weight = sameCallerWeight
+	}
+	if o.kind == observedExactly {
+		g.noteAnswer(o.high - math.Log(max(1, float64(s.InProgress)/float64(slots))))
+	}
+	e.observe(now, g, slots, o, EvidenceAnswer)
+	if o.kind == observedExactly || !g.isSlow(took, s.InProgress, slots) {
+		e.noteStart(g, slow, s.Start, s.Caller)
+	}
+	g.update(now, e)
+	e.judge(g, slots)
+}
+
+// Pending records that a request that was sent at the given time has no answer yet. It is called at most
+// once for a request, and the Sample of its answer says so in Counted.
+func (e *Estimate) Pending(now time.Duration, g *Group, slots int, start, transit time.Duration, inProgress int) {
+	waited := max(now-start-transit, minWork)
+	e.observe(now, g, slots, observation{kind: observedPending, inProgress: inProgress, low: logWork(waited), weight: 1}, EvidencePending)
+	e.noteStart(g, g.isSlow(waited, inProgress, slots), start, 0)
+	g.update(now, e)
+	e.judge(g, slots)
+}
 
 // Shed records that the upstream rejected a request while so many of this host were in progress.
-func (e *Estimate) Shed(now time.Duration, g *Group, slots, inProgress int) {}
+func (e *Estimate) Shed(now time.Duration, g *Group, slots, inProgress int) {
+	e.observe(now, g, slots, observation{kind: observedShed, inProgress: inProgress, weight: 1}, EvidenceShed)
+	e.judge(g, slots)
+}
+
+func (e *Estimate) observe(now time.Duration, g *Group, slots int, o observation, evidence Evidence) {
+	if e.filter.slots != slots || now-e.updatedAt > staleTime {
+		e.filter.reset(slots, g.reference)
+		e.slow, e.samples, e.slowSince = false, 0, 0
+	} else {
+		e.filter.relax(now-e.updatedAt, g.reference)
+	}
+	e.filter.apply(&o)
+	e.samples++
+	e.updatedAt, e.evidence = now, evidence
+	e.work = e.filter.meanWork()
+}
+
+// noteStart records when the latest slow requests began, or that the upstream or a peer is fast.
+func (e *Estimate) noteStart(g *Group, slow bool, start time.Duration, caller uint64) {
+	switch {
+	case !slow:
+		e.slowSince = 0
+		g.noteFast(start)
+	case e.slowSince == 0:
+		e.slowSince = start
+	}
+	if slow && caller != 0 {
+		e.lastSlow = caller
+	}
+}
+
+// judge decides from the filter whether the upstream is slow and where its knee is.
+func (e *Estimate) judge(g *Group, slots int) {
+	if g.reference > 0 {
+		reference := max(g.reference, g.recentWork)
+		above := e.filter.weightAbove(logWork(time.Duration(slowFactor * float64(reference))))
+		switch {
+		case !e.slow:
+			// If no peer answers fast any more what was sent since, the requests are heavier.
+			e.slow = above >= slowWeight && float64(e.work) >= minSlowness*float64(reference) && g.fastSince(e.slowSince)
+		case above < usualWeight:
+			e.slow = false
+		}
+	}
+	e.limit = e.filter.knee(e.limit)
+}
 
 // Limit returns the number of requests that the upstream takes well at a time, at most its slots.
-func (e *Estimate) Limit(now time.Duration, g *Group, slots int) float64 { return float64(slots) }
+func (e *Estimate) Limit(now time.Duration, _ *Group, slots int) float64 {
+	if e == nil || e.samples == 0 || e.limit >= slots || now-e.updatedAt > staleTime {
+		return float64(slots)
+	}
+	return float64(e.limit)
+}
+
+// Work returns the time that a request takes a slot; zero is unknown. An upstream without samples takes as
+// long as its peers.
+func (e *Estimate) Work(now time.Duration, g *Group) time.Duration {
+	if e == nil || e.samples < minSamples || now-e.updatedAt > staleTime {
+		return g.Work()
+	}
+	return e.work
+}
+
+// Slow reports whether the upstream is judged slower than its peers.
+func (e *Estimate) Slow(now time.Duration) bool {
+	return e != nil && e.slow && now-e.updatedAt <= staleTime
+}
+
+// Slowness returns how many times slower than its peers the upstream is; 1 unless it is judged slow.
+func (e *Estimate) Slowness(now time.Duration, g *Group) float64 {
+	if !e.Slow(now) || g.reference <= 0 {
+		return 1
+	}
+	return max(1, float64(e.work)/float64(g.reference))
+}
+
+// UpdatedAt returns when the last evidence came; zero is never.
+func (e *Estimate) UpdatedAt() time.Duration {
+	if e == nil {
+		return 0
+	}
+	return e.updatedAt
+}
+
+// Samples returns the number of samples, and what the last one was.
+func (e *Estimate) Samples() (int, Evidence) { return e.samples, e.evidence }
+
+// Reset makes the estimate one without samples.
+func (e *Estimate) Reset(g *Group) {
+	g.remove(e)
+	*e = Estimate{}
+}
 
-// Work returns the time that a request takes a slot; zero is unknown.
-func (e *Estimate) Work(now time.Duration, g *Group) time.Duration { return e.work }
+func logWork(d time.Duration) float64 { return math.Log(float64(d) / float64(minWork)) }
--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -267,6 +267,7 @@
 // unindexUpstream removes a gone upstream from the list of its service. Its token still maps to it,
 // unless a live upstream shares the token.
 func (c *Core) unindexUpstream(u *upstream) {
+	c.forgetCapacity(u)
 	s := c.serviceOf(u.Service)
 	if i := slices.Index(s.upstreams, u); i >= 0 {
 		s.upstreams = slices.Delete(s.upstreams, i, i+1)
--- a/internal/dsr/choose.go
+++ b/internal/dsr/choose.go
@@ -13,8 +13,6 @@
 const (
 	// slowStartFactor is the assumed slowdown of an upstream during slow start.
 	slowStartFactor = 1.6
-	// maxLatencyHalfLives is the age, in half-lives, beyond which latency samples are ignored.
-	maxLatencyHalfLives = 8
 	// minFlowLoad is the least load of an open flow, in requests, when upstreams are compared: about
 	// one request of 50 ms per second.
 	minFlowLoad = 0.05
@@ -144,7 +142,7 @@
 		// The other hosts that share the upstream send it as much in proportion.
 		load /= u.share
 	}
-	cost := (load + 1) * u.slowdown(now, ch.state) / float64(u.Slots)
+	cost := u.learnedCost(now, load, ch.class)
 	if suspect {
 		cost += suspectCost
 	}
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -36,6 +36,7 @@
 	format   Format
 	cache    flowCache
 	waiters  waiters
+	learner  learner
 	unrouted unrouted
 
 	byKey map[string]*upstream
@@ -118,6 +119,7 @@
 		zones:         make(map[string]*zone),
 		routes:        make(map[netip.AddrPort]*route),
 		waiters:       newWaiters(),
+		learner:       newLearner(),
 		unrouted:      newUnrouted(),
 		unknownTokens: make(map[Token]time.Duration),
 		checks:        make(map[uint64]*check),
@@ -191,6 +193,9 @@
 		return p, Effect{Action: Drop, Reason: ReasonMalformed}
 	}
 	if p.SYN {
+		if p.SYNRetransmits == 0 {
+			c.callerReturned(now, p)
+		}
 		return p, c.handleSYN(now, p)
 	}
 	return p, c.routePacket(now, p)
@@ -200,6 +205,7 @@
 // progress and idle flows.
 func (c *Core) advance(now time.Duration) {
 	c.expireUpstreams(now)
+	c.advanceLearning(now)
 	handshakeTimeout := c.linkMonitor.handshakeTimeout()
 	for f := c.cache.opening.First(); f != nil && now-f.openedAt > handshakeTimeout; f = c.cache.opening.First() {
 		c.cache.setPhase(now, f, phaseOverdue)
--- a/internal/dsr/flows.go
+++ b/internal/dsr/flows.go
@@ -72,6 +72,11 @@
 	answered bool
 	// unqueued is set if the upstream had a free slot when the request in progress was seen.
 	unqueued bool
+	// inProgress is the number of requests in progress at the upstream when the request in progress was seen, with it;
+	// zero is unknown. resentAt is when a packet of it was last sent again, counted how long it was unanswered when that
+	// was taken as evidence; zero is never.
+	inProgress        int
+	resentAt, counted time.Duration
 	// pending is set while a request has no answer, also after phaseBusy.
 	pending bool
 	// resetAt is when the flow was reset without a packet of its own; zero is never. It no longer counts at its
@@ -174,6 +179,7 @@
 		c.busy.Push(f)
 		f.spilled = u.share == 0
 		f.unqueued = u.hasFreeSlot()
+		f.inProgress, f.resentAt, f.counted = u.inProgress(), 0, 0
 		u.busy++
 		u.flows++
 		u.service.flows++
--- a/internal/dsr/learned.go
+++ b/internal/dsr/learned.go
@@ -1,14 +1,368 @@
 package dsr
 
-import "time"
+import (
+	"encoding/binary"
+	"math"
+	"time"
+
+	"mimosashore.example/mimosashore/internal/capacity"
+	"mimosashore.example/mimosashore/internal/list"
+	"mimosashore.example/mimosashore/internal/loadcontrol"
+)
+
+const (
+	// maxEstimates bounds the upstreams that a host learns the capacity of, about 1 KB each. The one without
+	// samples for longest is forgotten.
+	maxEstimates = 2048
+	// pendingFactor is the multiple of the work of the peers after which an unanswered request is evidence,
+	// pendingInterval the time between two searches for such requests.
+	pendingFactor   = 3
+	pendingInterval = 20 * time.Millisecond
+	// probeInterval is the time without an answer or a request after which a slow upstream gets one like any
+	// other, slowProbeInterval that of one whose work takes more than probeShare of the latency objective, so that
+	// the probe itself may be late.
+	probeInterval     = time.Second
+	slowProbeInterval = 1800 * time.Millisecond
+	probeShare        = 0.5
+	// lateFactor is the multiple of the latency objective at which a slow upstream gets probes only. At the
+	// objective, six in ten answers are in time; at lateFactor times it, four in ten.
+	lateFactor = 1.3
+	// minLimit is the least limit that a cost is computed with.
+	minLimit = 0.1
+	// quickFactor is the part of the work of the peers below which an answer may be a rejection. returnTime is the
+	// time in which the caller comes back then, with a margin for the way.
+	quickFactor = 0.125
+	returnTime  = 15 * time.Millisecond
+	// maxQuickShare is the part of the answers to single requests above which quick answers are usual for the
+	// service, and no rejections. quickWeight is the weight of one of them.
+	maxQuickShare = 0.02
+	quickWeight   = 0.01
+	// maxQuick bounds the quick answers that are kept for returnTime.
+	maxQuick = 64
+)
+
+// learner holds what the core needs to learn the capacity of its upstreams.
+type learner struct {
+	// recent is ordered by the last sample, spare holds estimates that are not in use.
+	recent list.List[upstream]
+	spare  []*capacity.Estimate
+	// quick holds answers that may be rejections, oldest first.
+	quick         []quickAnswer
+	nextPendingAt time.Duration
+	counts        LearnedCounts
+}
+
+// LearnedCounts counts judgements of the capacity of upstreams.
+type LearnedCounts struct {
+	// Slow is the number of upstreams that are judged slower than their peers, Limited that of those with a
+	// limit below their slots.
+	Slow, Limited int
+	// Changes counts changes of judgements, Sheds rejections.
+	Changes, Sheds uint64
+}
+
+// quickAnswer is an answer that came so early that it may be a rejection.
+type quickAnswer struct {
+	upstream *upstream
+	sample   capacity.Sample
+	key      flowKey
+	// closed is set if the caller ended the flow with it.
+	closed bool
+}
+
+// judgement is what has been learned of an upstream.
+type judgement struct {
+	limit float64
+	slow  bool
+}
+
+func newLearner() learner {
+	return learner{
+		recent: list.New(func(u *upstream) *list.Links[upstream] { return &u.learnedLinks }),
+		quick:  make([]quickAnswer, 0, maxQuick),
+	}
+}
+
+// LearnedCounts returns the counts of judgements.
+func (c *Core) LearnedCounts() LearnedCounts { return c.learner.counts }
 
 // learnedLimit returns the number of requests that the upstream takes well at a time, from all hosts
-// together, at most its slots. It may be less than one; loadcontrol.Pacer spaces requests then.
+// together, at most its slots. It may be less than one; loadcontrol.Pacer spaces requests then. It is
+// lower for a slow upstream that would answer late; a request on an open flow, which can't go elsewhere,
+// is bounded by learnedKnee only.
 func (u *upstream) learnedLimit(now time.Duration) float64 {
+	limit := u.learnedKnee(now)
+	objective := u.service.latencyObjective
+	if objective <= 0 || !u.learned.Slow(now) {
+		return limit
+	}
+	work := u.learned.Work(now, &u.service.peers)
+	inTime := (lateFactor*float64(objective) - float64(work)) / ((lateFactor - 1) * float64(objective))
+	probes := float64(work) / float64(u.probeInterval(work))
+	return min(limit, max(limit*inTime, min(probes, 1)))
+}
+
+// learnedKnee returns the number of requests above which the upstream rejects them or gets slower in
+// proportion, at most its slots.
+func (u *upstream) learnedKnee(now time.Duration) float64 {
 	return u.learned.Limit(now, &u.service.peers, u.Slots)
 }
 
 // learnedWork returns the time that a request takes a slot of the upstream; zero is unknown.
 func (u *upstream) learnedWork(now time.Duration) time.Duration {
-	return time.Duration(float64(u.service.work.Mean()) * u.slowdown(now, u.service))
+	s := u.service
+	if u.learned.Slow(now) {
+		return u.learned.Work(now, &s.peers)
+	}
+	work := s.peers.Work()
+	if work == 0 {
+		work = s.work.Mean()
+	}
+	return time.Duration(float64(work) * u.slowStart(now))
+}
+
+// slowStart returns the assumed slowdown of an upstream during slow start.
+func (u *upstream) slowStart(now time.Duration) float64 {
+	if now < u.slowStartUntil {
+		return slowStartFactor
+	}
+	return 1
+}
+
+// learnedCost returns the expected wait of a request at an upstream, in requests per slot, with the given load in
+// requests. At a slow upstream it is not less than the work of the request itself, since a request has one slot.
+func (u *upstream) learnedCost(now time.Duration, load float64, class loadcontrol.Class) float64 {
+	cost := (load + 1) / max(u.learnedLimit(now), minLimit)
+	switch {
+	case !u.learned.Slow(now):
+		return cost * u.slowStart(now)
+	case u.wantsProbe(now, class):
+		return (load + 1) / float64(u.Slots)
+	default:
+		return max(cost, 1) * max(u.slowStart(now), u.learned.Slowness(now, &u.service.peers))
+	}
+}
+
+// probeInterval returns the time between two probes of a slow upstream.
+func (u *upstream) probeInterval(work time.Duration) time.Duration {
+	if float64(work) > probeShare*float64(u.service.latencyObjective) {
+		return slowProbeInterval
+	}
+	return probeInterval
+}
+
+// wantsProbe reports whether a request is needed to tell whether a slow upstream has recovered.
+func (u *upstream) wantsProbe(now time.Duration, class loadcontrol.Class) bool {
+	if class.Urgent || class.Late || u.busy+u.opening > 0 || !u.learned.Slow(now) {
+		return false
+	}
+	last := max(u.learned.UpdatedAt(), u.pacer.AdmittedAt)
+	interval := u.probeInterval(u.learned.Work(now, &u.service.peers))
+	// The hosts that share the upstream probe it in turn.
+	return u.share > 0 && float64(now-last)*u.share >= float64(interval)
+}
+
+func (u *upstream) judgement(now time.Duration) judgement {
+	return judgement{limit: u.learnedKnee(now), slow: u.learned.Slow(now)}
+}
+
+// estimate returns the estimate of an upstream for a new sample.
+func (c *Core) estimate(u *upstream) *capacity.Estimate {
+	l := &c.learner
+	if u.learned != nil {
+		l.recent.Remove(u)
+		l.recent.Push(u)
+		return u.learned
+	}
+	if l.recent.Len() >= maxEstimates {
+		c.forgetCapacity(l.recent.First())
+	}
+	if n := len(l.spare); n > 0 {
+		u.learned = l.spare[n-1]
+		l.spare = l.spare[:n-1]
+	} else {
+		u.learned = new(capacity.Estimate)
+	}
+	l.recent.Push(u)
+	return u.learned
+}
+
+// forgetCapacity drops the estimate of an upstream.
+func (c *Core) forgetCapacity(u *upstream) {
+	if u.learned == nil {
+		return
+	}
+	c.learner.count(judgement{float64(u.Slots), false}, u.judged, u.Slots)
+	u.judged = judgement{}
+	c.learner.recent.Remove(u)
+	u.learned.Reset(&u.service.peers)
+	c.learner.spare = append(c.learner.spare, u.learned)
+	u.learned = nil
+}
+
+// learnAnswer learns from the answer to the request in progress on a flow. If the packet that acknowledged it has
+// data, the answer may have come earlier.
+func (c *Core) learnAnswer(now time.Duration, f *flow, early bool) {
+	u := f.upstream
+	if u.gone || c.linkMonitor.degradedAt >= f.busyAt {
+		return
+	}
+	s := capacity.Sample{
+		Start: f.busyAt, End: now, Transit: f.handshake, InProgress: f.inProgress, Retransmitted: f.resentAt != 0, ResentAt: f.resentAt,
+		AtMost: early, Counted: f.counted, Caller: callerID(f.key),
+	}
+	if quick := quickFactor * float64(u.service.peers.Reference()); float64(now-f.busyAt-f.handshake) >= quick {
+		if f.inProgress == 1 {
+			u.service.quickShare -= quickWeight * u.service.quickShare
+		}
+		c.addSample(now, u, s)
+		return
+	}
+	if f.inProgress == 1 {
+		u.service.quickShare += quickWeight * (1 - u.service.quickShare)
+	}
+	if len(c.learner.quick) == maxQuick {
+		c.resolveQuick(now, 1)
+	}
+	c.learner.quick = append(c.learner.quick, quickAnswer{upstream: u, sample: s, key: f.key})
+}
+
+// addSample adds a sample to the estimate of an upstream.
+func (c *Core) addSample(now time.Duration, u *upstream, s capacity.Sample) {
+	c.estimate(u).Add(now, &u.service.peers, u.Slots, s)
+	c.noteJudgement(now, u, s.Start)
+}
+
+// flowClosed records that a caller ended a flow, which makes an early answer on it likelier to be a rejection.
+func (c *Core) flowClosed(f *flow) {
+	for i := range c.learner.quick {
+		if c.learner.quick[i].key == f.key {
+			c.learner.quick[i].closed = true
+		}
+	}
+}
+
+// callerReturned records the first SYN of a flow. If the caller has just ended another one with a quick answer, that
+// was a rejection.
+func (c *Core) callerReturned(now time.Duration, p *Packet) {
+	l := &c.learner
+	id := callerID(flowKey{caller: p.Caller})
+	for i := range l.quick {
+		q := &l.quick[i]
+		u := q.upstream
+		if !q.closed || q.sample.Caller != id || u.gone || u.service.quickShare > maxQuickShare {
+			continue
+		}
+		c.estimate(u).Shed(now, &u.service.peers, u.Slots, q.sample.InProgress)
+		l.counts.Sheds++
+		c.noteJudgement(now, u, q.sample.Start)
+		l.quick = append(l.quick[:i], l.quick[i+1:]...)
+		return
+	}
+}
+
+// resolveQuick adds the first count quick answers as samples. One of several requests at a time may be a rejection
+// all the same, since callers mostly come back through other hosts, and is left out.
+func (c *Core) resolveQuick(now time.Duration, count int) {
+	for _, q := range c.learner.quick[:count] {
+		if !q.upstream.gone && (q.sample.InProgress <= 1 || !q.closed) {
+			c.addSample(now, q.upstream, q.sample)
+		}
+	}
+	c.learner.quick = append(c.learner.quick[:0], c.learner.quick[count:]...)
+}
+
+// advanceLearning learns from requests that are unanswered for long, and from quick answers whose callers did not
+// come back.
+func (c *Core) advanceLearning(now time.Duration) {
+	count := 0
+	for count < len(c.learner.quick) && now-c.learner.quick[count].sample.End > returnTime {
+		count++
+	}
+	if count > 0 {
+		c.resolveQuick(now, count)
+	}
+	if now < c.learner.nextPendingAt {
+		return
+	}
+	c.learner.nextPendingAt = now + pendingInterval
+	for f := c.cache.busy.First(); f != nil && now-f.busyAt > pendingInterval; f = f.phaseLinks.Next() {
+		u := f.upstream
+		waited := now - f.busyAt - f.handshake
+		reference := u.service.peers.Reference()
+		if f.counted != 0 || f.resentAt != 0 || reference == 0 || waited < pendingFactor*reference || u.gone || c.linkMonitor.degradedAt >= f.busyAt {
+			continue
+		}
+		f.counted = now - f.busyAt
+		c.estimate(u).Pending(now, &u.service.peers, u.Slots, f.busyAt, f.handshake, f.inProgress)
+		c.noteJudgement(now, u, f.busyAt)
+	}
+}
+
+// noteJudgement records a changed judgement of an upstream. The request that decided was sent at the given time.
+func (c *Core) noteJudgement(now time.Duration, u *upstream, sent time.Duration) {
+	to, from := u.judgement(now), u.judged
+	if from.limit == 0 {
+		from.limit = float64(u.Slots)
+	}
+	if to == from {
+		return
+	}
+	u.judged = to
+	c.learner.count(to, from, u.Slots)
+	c.learner.counts.Changes++
+	samples, evidence := u.learned.Samples()
+	g := &u.service.peers
+	c.emit(Record{
+		Event: "judgement of the upstream's capacity changed", Upstream: u.Key, Service: u.Service, Detail: to.name(u.Slots), FromJudgement: from.name(u.Slots),
+		Limit: to.limit, FromLimit: from.limit, LearnedWork: u.learned.Work(now, g), PeerWork: g.Reference(), Samples: samples,
+		Evidence: evidence.String(), Source: SourceFlows, Age: now - sent, Open: u.busy + u.opening,
+	})
+}
+
+// count counts the change of a judgement in the gauges.
+func (l *learner) count(to, from judgement, slots int) {
+	step := func(is, was bool) int {
+		switch {
+		case is == was:
+			return 0
+		case is:
+			return 1
+		default:
+			return -1
+		}
+	}
+	limited := func(j judgement) bool { return j.limit != 0 && j.limit < float64(slots) }
+	l.counts.Slow += step(to.slow, from.slow)
+	l.counts.Limited += step(limited(to), limited(from))
+}
+
+// name returns the judgement as it appears in logs.
+func (j judgement) name(slots int) string {
+	limited := j.limit < float64(slots)
+	switch {
+	case j.slow && limited:
+		return "slow, with fewer slots"
+	case j.slow:
+		return "slow"
+	case limited:
+		return "fewer slots"
+	default:
+		return "like its peers"
+	}
+}
+
+// inProgress returns the number of requests in progress at the upstream with one more, as far as this host knows; zero
+// is unknown. Other hosts that share the upstream are taken to send as many in proportion.
+func (u *upstream) inProgress() int {
+	if u.share == 0 {
+		return 0
+	}
+	return int(math.Round(float64(u.busy+1) / u.share))
+}
+
+// callerID identifies the caller of a flow by its address, since a link delays all of its flows.
+func callerID(key flowKey) uint64 {
+	a := key.caller.Addr().As4()
+	return uint64(binary.BigEndian.Uint32(a[:])) + 1
 }
--- a/internal/dsr/loadworld_test.go
+++ b/internal/dsr/loadworld_test.go
@@ -92,6 +92,10 @@
 	queue   []*loadJob
 	// crashed is set while the upstream answers with resets, dark while it does not answer.
 	crashed, dark bool
+	// slower multiplies the work of this upstream if it is not zero.
+	slower float64
+	// served counts the requests that were answered.
+	served int
 }
 
 type loadJob struct {
@@ -411,7 +415,7 @@
 		finished(false)
 		return
 	}
-	j := &loadJob{work: time.Duration(float64(work) * w.slowdown), at: w.Now(), finished: finished}
+	j := &loadJob{work: time.Duration(float64(work) * w.slowdown * max(u.slower, 1)), at: w.Now(), finished: finished}
 	u.queue = append(u.queue, j)
 	w.After(loadQueueTime, func() {
 		if j.started {
@@ -436,6 +440,7 @@
 		u.running++
 		u.world.After(j.work, func() {
 			u.running--
+			u.served++
 			j.finished(true)
 			u.run()
 		})
--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -33,6 +33,9 @@
 		f.progressAt = now
 		c.cache.setPhase(now, f, phaseIdle)
 	}
+	if p.RST || p.FIN {
+		defer c.flowClosed(f)
+	}
 	if p.RST {
 		c.cache.setPhase(now, f, phaseClosed)
 		return
@@ -48,6 +51,7 @@
 		if f.phase == phaseBusy {
 			f.answered = true
 			c.addLatencySample(now, f, now-f.busyAt)
+			c.learnAnswer(now, f, p.Length > 0)
 			c.cache.setPhase(now, f, phaseIdle)
 		}
 	}
@@ -96,6 +100,7 @@
 // packets and a queue delays answers, but if a reset can help the caller the upstream is checked.
 func (c *Core) observeRetransmit(now time.Duration, f *flow) {
 	u := f.upstream
+	f.resentAt = now
 	if f.pending && (u.gone || f.route != nil && f.route.Idempotent) {
 		c.checkUpstream(now, u)
 	}
@@ -106,15 +111,13 @@
 	u := f.upstream
 	c.samples = append(c.samples, Sample{SampleAnswer, d})
 	seconds := d.Seconds()
-	u.latency = ewma(u.latency, seconds)
-	u.latencyAt = now
 	s := u.service
 	// The mean of a service covers more samples than that of one upstream.
 	s.latency = ewma(s.latency, seconds)
 	if u.share == 0 {
 		s.spill.AddLatency(now, d, s.work.Mean(), s.latencyObjective)
 	}
-	if f.unqueued && !c.linkMonitor.recentlyDegraded(now) {
+	if f.unqueued && !u.learned.Slow(now) && !c.linkMonitor.recentlyDegraded(now) {
 		s.work.Add(max(d-f.handshake, minWork))
 	}
 }
--- a/internal/dsr/record.go
+++ b/internal/dsr/record.go
@@ -42,6 +42,13 @@
 	// the time that a request takes one of them.
 	Demand, Slots float64
 	Work          time.Duration
+	// Samples is the number of samples behind a judgement of an upstream's capacity, which changed from FromJudgement
+	// and FromLimit to Detail and Limit; zero for other records. LearnedWork is the time that a request takes a slot of the
+	// upstream, PeerWork that at its peers.
+	Samples               int
+	FromJudgement         string
+	Limit, FromLimit      float64
+	LearnedWork, PeerWork time.Duration
 }
 
 // Routine reports whether the record is of a forwarded packet rather than of a change or a refusal.
--- a/internal/dsr/service.go
+++ b/internal/dsr/service.go
@@ -24,6 +24,8 @@
 	work loadcontrol.Work
 	// peers is what the upstreams have in common, against which the capacity of each is judged.
 	peers capacity.Group
+	// quickShare is the part of the answers to single requests that come much earlier than usual.
+	quickShare float64
 	// flows is the number of open flows of this host, repeats the demand of their requests after the
 	// first.
 	flows   int
--- a/internal/dsr/state.go
+++ b/internal/dsr/state.go
@@ -57,12 +57,13 @@
 	Busy      int    `json:"busy"`
 	Flows     int    `json:"flows"`
 	// Share is the part of the upstream that this host is responsible for.
-	Share     float64 `json:"share"`
-	LatencyMs float64 `json:"latency_ms"`
+	Share float64 `json:"share"`
 	// LearnedLimit is the number of requests that the upstream takes well at a time, LearnedWorkMs the
 	// time that one takes then.
 	LearnedLimit  float64 `json:"learned_limit"`
 	LearnedWorkMs float64 `json:"learned_work_ms"`
+	// Judgement is how the capacity compares with that of the peers.
+	Judgement string `json:"judgement"`
 	// LastAnswerAgeMs is the time since the upstream last answered; -1 if it never has.
 	LastAnswerAgeMs int64 `json:"life_ms"`
 }
@@ -108,8 +109,9 @@
 	s := UpstreamState{
 		Key: u.Key, Service: u.Service, Zone: u.Zone, To: u.Addr.String(), Token: u.token, Era: uint64(u.Era), Revision: uint64(u.Revision),
 		Status: u.status(), Suspicion: u.suspicion(now), Opening: u.opening, Busy: u.busy, Flows: u.flows,
-		Share: u.share, LatencyMs: u.latency * 1000, LastAnswerAgeMs: -1,
+		Share: u.share, LastAnswerAgeMs: -1,
 		LearnedLimit: u.learnedLimit(now), LearnedWorkMs: u.learnedWork(now).Seconds() * 1000,
+		Judgement: u.judgement(now).name(u.Slots),
 	}
 	if u.lastAnswerAt != 0 {
 		s.LastAnswerAgeMs = (now - u.lastAnswerAt).Milliseconds()
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -5,6 +5,7 @@
 
 	"mimosashore.example/mimosashore/internal/capacity"
 	"mimosashore.example/mimosashore/internal/directory"
+	"mimosashore.example/mimosashore/internal/list"
 	"mimosashore.example/mimosashore/internal/loadcontrol"
 )
 
@@ -21,11 +22,8 @@
 	// backoffMin and backoffMax bound how long an upstream or zone is avoided after a failure.
 	backoffMin = 500 * time.Millisecond
 	backoffMax = 4 * time.Second
-	// latencyWeight is the weight of a new sample in the mean latency.
+	// latencyWeight is the weight of a new sample in the mean latency of a service.
 	latencyWeight = 0.2
-	// latencyHalfLife is the time in which the excess of an upstream's mean latency over that of
-	// its service loses half of its weight.
-	latencyHalfLife = 2 * time.Second
 )
 
 // upstream is one incarnation of an upstream.
@@ -70,12 +68,12 @@
 	// checkID is the check that is wanted or under way; zero is none. The next one may begin at nextCheckAt.
 	checkID     uint64
 	nextCheckAt time.Duration
-	// latency is the mean time from request to answer, in seconds; zero is unknown.
-	latency   float64
-	latencyAt time.Duration
-	pacer     loadcontrol.Pacer
-	// learned is what the answers to this host say of the capacity of the upstream.
-	learned capacity.Estimate
+	pacer       loadcontrol.Pacer
+	// learned is what the answers to this host say of the capacity of the upstream; nil without samples. judged is the
+	// last judgement that was logged.
+	learned      *capacity.Estimate
+	learnedLinks list.Links[upstream]
+	judged       judgement
 	// rank orders the upstreams of a service in the same way on all hosts.
 	rank uint64
 	// share is the part of the upstream that this host is responsible for.
@@ -170,33 +168,6 @@
 	return u.backoff.delay != 0 && u.opening > 0 || u.zone.backoff.delay != 0 && u.zone.opening > 0
 }
 
-// slowdown returns how many times slower than its service the upstream is, at least 1.
-func (u *upstream) slowdown(now time.Duration, s *service) float64 {
-	f := 1.0
-	if now < u.slowStartUntil {
-		f = slowStartFactor
-	}
-	if u.latency == 0 || s.latency == 0 {
-		return f
-	}
-	age := float64(now-u.latencyAt) / float64(latencyHalfLife)
-	ratio := u.latency / s.latency
-	if age < maxLatencyHalfLives && ratio > 1 {
-		f = max(f, 1+(ratio-1)*decay(age))
-	}
-	return f
-}
-
-// decay approximates 0.5 to the power of x, which must not be negative, by linear pieces.
-func decay(x float64) float64 {
-	f := 1.0
-	for x >= 1 {
-		f /= 2
-		x--
-	}
-	return f * (1 - x/2)
-}
-
 // onAnswer records the answer to a packet that this host sent at the given time. Upstreams answer
 // callers directly, so the answer to an older packet does not show that packets from this host
 // still arrive.
--- a/internal/dsrhost/decide.go
+++ b/internal/dsrhost/decide.go
@@ -156,6 +156,11 @@
 	s.flows.Store(int64(d.core.Flows()))
 	s.version.Store(int64(d.core.Version()))
 	s.configurationAge.Store(int64(d.core.ConfigurationAge(d.host.elapsed())))
+	learned := d.core.LearnedCounts()
+	s.slowUpstreams.Store(int64(learned.Slow))
+	s.limitedUpstreams.Store(int64(learned.Limited))
+	s.judgementChanges.Set(learned.Changes)
+	s.sheds.Set(learned.Sheds)
 }
 
 // recordLog writes records of the core to the log.
@@ -181,7 +186,7 @@
 
 // recordFields returns the fields of a record that are set.
 func recordFields(r *dsr.Record) []zap.Field {
-	fields := make([]zap.Field, 0, 18)
+	fields := make([]zap.Field, 0, 24)
 	addr := func(name string, a netip.AddrPort) {
 		if a.IsValid() {
 			fields = append(fields, zap.String(name, a.String()))
@@ -218,6 +223,10 @@
 	if r.Slots != 0 {
 		fields = append(fields, zap.Float64("demand", r.Demand), zap.Float64("slots", r.Slots), zap.Int64("work_ms", r.Work.Milliseconds()))
 	}
+	if r.Samples != 0 {
+		fields = append(fields, zap.String("from", r.FromJudgement), zap.Float64("limit", r.Limit), zap.Float64("limit_before", r.FromLimit),
+			zap.Float64("work_ms", r.LearnedWork.Seconds()*1000), zap.Float64("peer_work_ms", r.PeerWork.Seconds()*1000), zap.Int("samples", r.Samples))
+	}
 	if r.Age != 0 {
 		fields = append(fields, zap.Int64("age_ms", r.Age.Milliseconds()))
 	}
--- a/internal/dsrhost/state.go
+++ b/internal/dsrhost/state.go
@@ -104,11 +104,11 @@
 		fmt.Fprintf(t, "%s\t%.1f\t%.0f\t%.1f\t%d\t%d\t%.1f\n", v.Name, v.OwnSlots, v.WorkMs, v.Demand, v.Waiting, v.Spilled, v.SpillLimit)
 	}
 	fmt.Fprintln(t)
-	fmt.Fprintln(t, "SERVICE\tUPSTREAM\tZONE\tADDRESS\tTOKEN\tREVISION\tSTATUS\tSUSPICION\tOPENING\tBUSY\tFLOWS\tSHARE\tLATENCY MS\tLIFE MS")
+	fmt.Fprintln(t, "SERVICE\tUPSTREAM\tZONE\tADDRESS\tTOKEN\tREVISION\tSTATUS\tSUSPICION\tOPENING\tBUSY\tFLOWS\tSHARE\tLIMIT\tWORK MS\tJUDGEMENT\tLIFE MS")
 	for i := range s.Upstreams {
 		u := &s.Upstreams[i]
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\t%d\t%d\t%d\t%.2f\t%.0f\t%d\n", u.Service, u.Key, u.Zone, u.To, u.Token, u.Revision,
-			u.Status, u.Suspicion, u.Opening, u.Busy, u.Flows, u.Share, u.LatencyMs, u.LastAnswerAgeMs)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\t%d\t%d\t%d\t%.2f\t%.1f\t%.0f\t%s\t%d\n", u.Service, u.Key, u.Zone, u.To, u.Token, u.Revision,
+			u.Status, u.Suspicion, u.Opening, u.Busy, u.Flows, u.Share, u.LearnedLimit, u.LearnedWorkMs, u.Judgement, u.LastAnswerAgeMs)
 	}
 	return t.Flush()
 }
--- a/internal/dsrhost/stats.go
+++ b/internal/dsrhost/stats.go
@@ -23,6 +23,10 @@
 	// checks counts checks of upstreams by what they say.
 	checks                           map[dsr.CheckOutcome]*metrics.Counter
 	flows, version, configurationAge atomic.Int64
+	// slowUpstreams and limitedUpstreams are the upstreams that are judged slow, and to take fewer requests than they have
+	// slots.
+	slowUpstreams, limitedUpstreams atomic.Int64
+	judgementChanges, sheds         *metrics.Counter
 }
 
 // Values of the metric label "op" for calls to the store.
@@ -46,12 +50,16 @@
 		handshakeTimeouts: set.NewCounter("mimosashore_dsr_unfinished_handshakes_total"),
 		handshakes:        set.NewHistogram("mimosashore_dsr_handshake_seconds"),
 		answers:           set.NewHistogram("mimosashore_dsr_answer_seconds"),
+		judgementChanges:  set.NewCounter("mimosashore_dsr_capacity_changes_total"),
+		sheds:             set.NewCounter("mimosashore_dsr_seen_rejections_total"),
 		packets:           make(map[dsr.Effect]*metrics.Counter),
 	}
 	s.checks = make(map[dsr.CheckOutcome]*metrics.Counter)
 	for _, o := range dsr.CheckOutcomes() {
 		s.checks[o] = set.NewCounter(fmt.Sprintf("mimosashore_dsr_checks_total{outcome=%q}", o))
 	}
+	set.NewGauge("mimosashore_dsr_slow_upstreams", func() float64 { return float64(s.slowUpstreams.Load()) })
+	set.NewGauge("mimosashore_dsr_limited_upstreams", func() float64 { return float64(s.limitedUpstreams.Load()) })
 	set.NewGauge("mimosashore_dsr_flows", func() float64 { return float64(s.flows.Load()) })
 	set.NewGauge("mimosashore_dsr_configuration_age_seconds", func() float64 { return time.Duration(s.configurationAge.Load()).Seconds() })
 	set.NewGauge("mimosashore_dsr_configuration_version", func() float64 { return float64(s.version.Load()) })
