--- a/internal/dsr/choose.go
+++ b/internal/dsr/choose.go
@@ -13,8 +13,6 @@
 const (
 	// slowStartFactor is the assumed slowdown of an upstream during slow start.
 	slowStartFactor = 1.6
-	// maxLatencyHalfLives is the age, in half-lives, beyond which latency samples are ignored.
-	maxLatencyHalfLives = 8
 	// minFlowLoad is the least load of an open flow, in requests, when upstreams are compared: about
 	// one request of 50 ms per second.
 	minFlowLoad = 0.05
@@ -130,18 +128,19 @@
 		}
 		return c.hasRoom(now, s, u)
 	}
-	slots := u.share * float64(u.Slots)
+	limit := u.learnedLimit(now)
+	slots := u.share * limit
 	if u.share == 0 {
 		if !spills {
 			return false
 		}
-		slots = float64(u.Slots)
+		slots = limit
 	}
 	open := float64(u.busy + u.opening)
 	if !ch.class.Urgent {
 		open += ch.repeatLoad * float64(u.flows-u.busy)
 	}
-	work := time.Duration(float64(s.work.Mean()) * u.slowdown(now, s))
+	work := u.learnedWork(now)
 	return u.pacer.Admits(now, open, loadcontrol.Limit(slots, work, objective), ch.class, work)
 }
 
@@ -157,7 +156,7 @@
 		// The other hosts that share the upstream send it as much in proportion.
 		load /= u.share
 	}
-	cost := (load + 1) * u.slowdown(now, ch.state) / float64(u.Slots)
+	cost := u.learnedCost(now, load, ch.class)
 	if suspect {
 		cost += suspectCost
 	}
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -37,6 +37,7 @@
 	cache    flowCache
 	waiters  waiters
 	waiting  waiting
+	learner  learner
 	unrouted unrouted
 
 	byKey map[string]*upstream
@@ -121,6 +122,7 @@
 		routes:        make(map[netip.AddrPort]*route),
 		waiters:       newWaiters(),
 		waiting:       newWaiting(),
+		learner:       newLearner(),
 		unrouted:      newUnrouted(),
 		unknownTokens: make(map[Token]time.Duration),
 		checks:        make(map[uint64]*check),
@@ -195,6 +197,9 @@
 	}
 	var e Effect
 	if p.SYN {
+		if p.SYNRetransmits == 0 {
+			c.callerReturned(now, p)
+		}
 		e = c.handleSYN(now, p)
 	} else {
 		e = c.routePacket(now, p)
@@ -207,6 +212,7 @@
 // progress and idle flows.
 func (c *Core) advance(now time.Duration) {
 	c.expireUpstreams(now)
+	c.advanceLearning(now)
 	handshakeTimeout := c.linkMonitor.handshakeTimeout()
 	for f := c.cache.opening.First(); f != nil && now-f.openedAt > handshakeTimeout; f = c.cache.opening.First() {
 		c.cache.setPhase(now, f, phaseOverdue)
--- a/internal/dsr/waiting.go
+++ b/internal/dsr/waiting.go
@@ -94,12 +94,12 @@
 
 // limitAt returns the number of requests of this host that an upstream works on, and one more if the
 // latency objective leaves the time for it.
-func (c *Core) limitAt(now time.Duration, s *service, u *upstream) float64 {
+func (c *Core) limitAt(now time.Duration, s *service, u *upstream, slots float64) float64 {
 	share := u.share
 	if share == 0 {
 		share = 1
 	}
-	limit := share * u.learnedLimit(now)
+	limit := share * slots
 	if work := u.learnedWork(now); work > 0 && s.latencyObjective >= lookaheadObjective*work {
 		limit += share
 	}
@@ -109,10 +109,20 @@
 // hasRoom reports whether another request of this host may be sent to an upstream. The load of those that
 // other hosts are responsible for is not known; all of them together have a window.
 func (c *Core) hasRoom(now time.Duration, s *service, u *upstream) bool {
+	return c.hasRoomFor(now, s, u, u.learnedLimit(now))
+}
+
+// hasRoomOnFlow is like hasRoom for a request on an open flow. Such a request can't go elsewhere, so an upstream
+// that is slow takes it as soon as it works on fewer than it can.
+func (c *Core) hasRoomOnFlow(now time.Duration, s *service, u *upstream) bool {
+	return c.hasRoomFor(now, s, u, u.learnedKnee(now))
+}
+
+func (c *Core) hasRoomFor(now time.Duration, s *service, u *upstream, slots float64) bool {
 	if u.share == 0 {
-		return s.spill.Admits(now, s.spilled, loadcontrol.Class{}) && float64(u.busy+u.opening) < u.learnedLimit(now)
+		return s.spill.Admits(now, s.spilled, loadcontrol.Class{}) && float64(u.busy+u.opening) < slots
 	}
-	return u.pacer.Admits(now, float64(u.busy+u.opening+u.lender.Lent(now)), c.limitAt(now, s, u), loadcontrol.Class{}, u.learnedWork(now))
+	return u.pacer.Admits(now, float64(u.busy+u.opening+u.lender.Lent(now)), c.limitAt(now, s, u, slots), loadcontrol.Class{}, u.learnedWork(now))
 }
 
 // stalled reports whether the upstream has not answered for so long that requests must not wait for it.
@@ -149,7 +159,7 @@
 	if !isRequest || !s.schedules() || u.gone || f.route == nil {
 		return Effect{}, false
 	}
-	if u.line.Len() == 0 && c.hasRoom(now, s, u) || u.stalled(now) {
+	if u.line.Len() == 0 && c.hasRoomOnFlow(now, s, u) || u.stalled(now) {
 		return Effect{}, false
 	}
 	w = c.newWaiting(now, p, s, f.route, u)
@@ -360,19 +370,24 @@
 		if u.stalled(now) || u.gone {
 			c.releaseLine(now, s, u)
 		}
-		for u.share == 0 && u.line.Len() > 0 && c.hasRoom(now, s, u) {
+		for u.share == 0 && u.line.Len() > 0 && c.hasRoomOnFlow(now, s, u) {
 			c.serve(now, s.queue.NextInLine(now, &u.line).Value)
 		}
 	}
 	c.rejectLate(now, s)
-	work := s.work.Mean()
 	for served := true; served && s.queue.Len() > 0; {
 		served = false
 		for _, u := range s.own {
-			if u.suspect(now) || !c.hasRoom(now, s, u) {
+			if u.suspect(now) || !c.hasRoomOnFlow(now, s, u) {
 				continue
 			}
-			if e := s.queue.Next(now, &u.line, work); e != nil {
+			var e *schedule.Entry[*waitingRequest]
+			if c.hasRoom(now, s, u) {
+				e = s.queue.Next(now, &u.line, u.learnedWork(now))
+			} else {
+				e = s.queue.NextInLine(now, &u.line)
+			}
+			if e != nil {
 				c.serve(now, e.Value)
 				served = true
 			}
@@ -380,7 +395,7 @@
 	}
 	c.askForCredits(now, s)
 	for !c.hasOwn(now, s) && s.queue.FreeLen() > 0 && s.spill.Admits(now, s.spilled, loadcontrol.Class{}) && c.hasForeign(now, s) {
-		e := s.queue.Next(now, nil, work)
+		e := s.queue.Next(now, nil, s.work.Mean())
 		if e == nil {
 			break
 		}
