--- a/internal/dsr/choose.go
+++ b/internal/dsr/choose.go
@@ -126,7 +126,7 @@
 			}
 			return spills && !c.hasOwn(now, s) && float64(u.busy+u.opening) < u.learnedLimit(now)
 		}
-		return c.hasRoom(now, s, u)
+		return c.hasRoom(now, s, u) && c.isWorthwhile(now, s, u, ch.class)
 	}
 	limit := u.learnedLimit(now)
 	slots := u.share * limit
--- a/internal/dsr/lending.go
+++ b/internal/dsr/lending.go
@@ -53,7 +53,7 @@
 		if wanted <= 0 {
 			break
 		}
-		if !u.usable() || u.suspect(now) {
+		if !u.usable() || u.suspect(now) || u.learned.Slow(now) {
 			continue
 		}
 		free := u.share*u.learnedLimit(now) - float64(u.busy+u.opening+u.lender.Lent(now))
--- a/internal/dsr/waiting.go
+++ b/internal/dsr/waiting.go
@@ -125,6 +125,25 @@
 	return u.pacer.Admits(now, float64(u.busy+u.opening+u.lender.Lent(now)), c.limitAt(now, s, u, slots), loadcontrol.Class{}, u.learnedWork(now))
 }
 
+// isWorthwhile reports whether an upstream that is slower than its peers is expected to answer a new flow no
+// later than they would after the wait for one of them.
+func (c *Core) isWorthwhile(now time.Duration, s *service, u *upstream, class loadcontrol.Class) bool {
+	if !u.learned.Slow(now) || u.wantsProbe(now, class) {
+		return true
+	}
+	slots := 0.0
+	for _, v := range s.own {
+		if !v.suspect(now) && !v.learned.Slow(now) {
+			slots += v.share * v.learnedLimit(now)
+		}
+	}
+	if slots == 0 {
+		return true
+	}
+	work := float64(s.peers.Work())
+	return work*(1+float64(s.queue.FreeLen()+1)/slots) >= float64(u.learnedWork(now))
+}
+
 // stalled reports whether the upstream has not answered for so long that requests must not wait for it.
 func (u *upstream) stalled(now time.Duration) bool {
 	if u.suspect(now) {
@@ -382,7 +401,7 @@
 				continue
 			}
 			var e *schedule.Entry[*waitingRequest]
-			if c.hasRoom(now, s, u) {
+			if c.hasRoom(now, s, u) && c.isWorthwhile(now, s, u, loadcontrol.Class{}) {
 				e = s.queue.Next(now, &u.line, u.learnedWork(now))
 			} else {
 				e = s.queue.NextInLine(now, &u.line)
@@ -434,10 +453,11 @@
 	return 0
 }
 
-// hasOwn reports whether an upstream that this host is responsible for can take flows.
+// hasOwn reports whether an upstream that this host is responsible for can take flows and is not slower than
+// its peers.
 func (c *Core) hasOwn(now time.Duration, s *service) bool {
 	for _, u := range s.own {
-		if !u.suspect(now) {
+		if !u.suspect(now) && !u.learned.Slow(now) {
 			return true
 		}
 	}
