--- a/internal/dsrhost/decide.go
+++ b/internal/dsrhost/decide.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"mimosashore.example/mimosashore/internal/dsr"
+	"mimosashore.example/mimosashore/internal/dsrpeer"
 	"mimosashore.example/mimosashore/internal/logging"
 	"mimosashore.example/mimosashore/internal/netio"
 )
@@ -29,6 +30,9 @@
 	waiting  waitingPackets
 	timer    *time.Timer
 	timerSet bool
+	// creditRequests and creditAnswers are nil if the host does not exchange free slots with others.
+	creditRequests <-chan dsrpeer.CreditRequest
+	creditAnswers  <-chan dsrpeer.CreditAnswer
 }
 
 // runCore runs the core until the context ends.
@@ -42,6 +46,9 @@
 		host: h, core: dsr.New(h.settings.Zone, h.deps.Format, xxhash.Sum64String(h.settings.Data.String())), writer: writer,
 		out: make([]netio.Datagram, 1), log: newRecordLog(h.deps.Logger, h.deps.LogOutput), waiting: newWaitingPackets(), timer: newStoppedTimer(),
 	}
+	if h.credits != nil {
+		d.creditRequests, d.creditAnswers = h.credits.Requests, h.credits.Answers
+	}
 	defer h.checker.wait()
 	ticker := time.NewTicker(gaugeInterval)
 	defer ticker.Stop()
@@ -58,6 +65,10 @@
 			h.stats.checks[d.core.CheckDone(h.elapsed(), r)].Inc()
 		case answer := <-h.stateRequests:
 			answer <- d.core.State(h.elapsed())
+		case r := <-d.creditRequests:
+			d.lend(r)
+		case a := <-d.creditAnswers:
+			h.stats.creditsBorrowed.Add(d.core.Borrow(h.elapsed(), a.AskedAt, a.Service, a.Credits))
 		case <-d.timer.C:
 			d.timerSet = false
 			d.core.Advance(h.elapsed())
@@ -71,6 +82,7 @@
 		}
 		d.sendReleased()
 		d.setTimer()
+		d.askForCredits()
 		d.sendWaitingResets()
 		if d.core.TakeConfirmRequest() {
 			h.feed.requestConfirmation()
--- a/internal/dsrhost/host.go
+++ b/internal/dsrhost/host.go
@@ -65,6 +65,8 @@
 	checker    *checker
 	// peer is nil if the host has no control address.
 	peer *dsrpeer.Peer
+	// credits is nil if the host does not exchange free slots with others.
+	credits *dsrpeer.Credits
 }
 
 // packet is a received packet queued for the core.
@@ -127,6 +129,12 @@
 		}
 		h.feed.delegated, h.feed.greeted = h.peer.Delegated, h.peer.Greeted()
 		h.stats.registerPeer(h.peer)
+		if s.Credits.IsValid() {
+			if h.credits, err = dsrpeer.ListenCredits(h.peer, s.Credits, logging.ForComponent(h.deps.Logger, "credits")); err != nil {
+				return err
+			}
+			h.stats.registerCredits(h.credits)
+		}
 	}
 	h.sockets, err = netio.Listen(ctx, s.Data, netio.Options{Readers: 1, Batch: 1})
 	return err
@@ -142,6 +150,9 @@
 	if h.peer != nil {
 		h.peer.Close()
 	}
+	if h.credits != nil {
+		h.credits.Close()
+	}
 	if h.sockets != nil {
 		h.sockets.Close()
 	}
@@ -169,7 +180,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h.log.Info("started", zap.Duration("stop_timeout", h.settings.StopTimeout), zap.Duration("apply_within", h.settings.ApplyWithin), zap.String("name", h.settings.Name), zap.String("zone", h.settings.Zone), zap.Stringer("data", h.settings.Data), zap.Stringer("store", h.settings.Store))
-	failures := make(chan error, 4)
+	failures := make(chan error, 5)
 	var tasks sync.WaitGroup
 	tasks.Go(func() { h.feed.run(ctx) })
 	tasks.Go(func() { h.feed.runConfirmations(ctx) })
@@ -184,6 +195,9 @@
 		tasks.Go(func() { h.peer.SendHellos(ctx) })
 		tasks.Go(func() { h.peer.Follow(ctx) })
 	}
+	if h.credits != nil {
+		tasks.Go(func() { failures <- h.credits.Run(ctx) })
+	}
 	var err error
 	select {
 	case <-ctx.Done():
--- a/internal/dsrhost/settings.go
+++ b/internal/dsrhost/settings.go
@@ -26,6 +26,8 @@
 	Data    netip.AddrPort
 	Ready   netip.AddrPort
 	Control netip.AddrPort
+	// Credits is the address for requests for free slots between hosts; not used if it isn't valid.
+	Credits netip.AddrPort
 	// Metrics is the address of the metrics and the state of the host; not served if it isn't valid.
 	Metrics netip.AddrPort
 	// Contacts are control addresses of other hosts for discovery; some may be out of date.
--- a/internal/dsrhost/stats.go
+++ b/internal/dsrhost/stats.go
@@ -18,6 +18,7 @@
 	received, ringFull                   *metrics.Counter
 	sendFailed, malformedItems           *metrics.Counter
 	handshakeTimeouts, waitingFlowResets *metrics.Counter
+	creditsLent, creditsBorrowed         *metrics.Counter
 	handshakes, answers, waits           *metrics.Histogram
 	packets                              map[dsr.Effect]*metrics.Counter
 	// checks counts checks of upstreams by what they say.
@@ -52,6 +53,8 @@
 		handshakeTimeouts: set.NewCounter("mimosashore_dsr_unfinished_handshakes_total"),
 		handshakes:        set.NewHistogram("mimosashore_dsr_handshake_seconds"),
 		answers:           set.NewHistogram("mimosashore_dsr_answer_seconds"),
+		creditsLent:       set.NewCounter("mimosashore_dsr_credits_lent_total"),
+		creditsBorrowed:   set.NewCounter("mimosashore_dsr_credits_borrowed_total"),
 		waits:             set.NewHistogram("mimosashore_dsr_wait_seconds"),
 		judgementChanges:  set.NewCounter("mimosashore_dsr_capacity_changes_total"),
 		sheds:             set.NewCounter("mimosashore_dsr_seen_rejections_total"),
@@ -93,6 +96,15 @@
 	}
 }
 
+// registerCredits registers the gauges of the exchange of free slots.
+func (s *stats) registerCredits(c *dsrpeer.Credits) {
+	for kind, count := range map[string]*atomic.Uint64{
+		"asked": &c.Stats.Asked, "received": &c.Stats.Received, "answered": &c.Stats.Answered, "rejected": &c.Stats.Rejected, "overflow": &c.Stats.Overflows,
+	} {
+		s.set.NewGauge(fmt.Sprintf("mimosashore_dsr_credit_messages{kind=%q}", kind), func() float64 { return float64(count.Load()) })
+	}
+}
+
 // countStoreCall counts a call to the store by operation and result.
 func (s *stats) countStoreCall(op string, err error) {
 	result := "answered"
