--- a/internal/dsr/dsr.go
+++ b/internal/dsr/dsr.go
@@ -137,13 +137,16 @@
 	ReasonWaitingCopy
 	// ReasonWaitEnded means that the request waited and is not served.
 	ReasonWaitEnded
+	// ReasonEvacuated means that the upstream of a repeated SYN, or all upstreams of the service, are in
+	// evacuated zones.
+	ReasonEvacuated
 	reasonCount
 )
 
 // reasonNames holds the names in logs and metrics. ReasonSYNRetransmit is "copy" there.
 var reasonNames = [reasonCount]string{
 	"routed", "unregistered", "placed", "copy", "moved", "malformed", "no configuration", "no route", "stale configuration", "no upstream",
-	"paced", "overloaded", "no token", "unknown token", "upstream gone", "upstream silent", "waiting", "copy of waiting", "wait ended",
+	"paced", "overloaded", "no token", "unknown token", "upstream gone", "upstream silent", "waiting", "copy of waiting", "wait ended", "evacuated",
 }
 
 // String returns the reason as it appears in logs and metrics.
--- a/internal/dsr/waiting.go
+++ b/internal/dsr/waiting.go
@@ -393,6 +393,9 @@
 			c.serve(now, s.queue.NextInLine(now, &u.line).Value)
 		}
 	}
+	for s.evacuated && s.queue.FreeLen() > 0 {
+		c.serve(now, s.queue.Next(now, nil, 0).Value)
+	}
 	c.rejectLate(now, s)
 	for served := true; served && s.queue.Len() > 0; {
 		served = false
--- a/internal/dsrhost/decide.go
+++ b/internal/dsrhost/decide.go
@@ -197,6 +197,7 @@
 	s.limitedUpstreams.Store(int64(learned.Limited))
 	s.judgementChanges.Set(learned.Changes)
 	s.sheds.Set(learned.Sheds)
+	s.evacuations.update(d.core)
 }
 
 // recordLog writes records of the core to the log.
--- a/internal/dsrhost/stats.go
+++ b/internal/dsrhost/stats.go
@@ -24,6 +24,7 @@
 	// checks counts checks of upstreams by what they say.
 	checks                           map[dsr.CheckOutcome]*metrics.Counter
 	flows, version, configurationAge atomic.Int64
+	evacuations                      evacuationGauges
 	// waiting and waitingBytes are the requests that wait and the bytes of their packets.
 	waiting, waitingBytes atomic.Int64
 	// slowUpstreams and limitedUpstreams are the upstreams that are judged slow, and to take fewer requests than they have
