--- /dev/null
+++ b/internal/dsr/servewaiting.go
@@ -0,0 +1,175 @@
+package dsr
+
+import (
+	"slices"
+	"time"
+
+	"mimosashore.example/mimosashore/internal/loadcontrol"
+	"mimosashore.example/mimosashore/internal/schedule"
+)
+
+// serve releases a request that takes a slot. It is routed anew, since the directory or the flow may
+// have changed meanwhile.
+func (c *Core) serve(now time.Duration, w *waitingRequest) {
+	c.forget(w)
+	c.waiting.draining = true
+	var e Effect
+	for i := range w.packets {
+		p := &w.packets[i].header
+		if p.SYN {
+			e = c.handleSYN(now, p)
+		} else {
+			if f := c.cache.flows[w.key]; f != nil && i == 0 {
+				f.countedAsked = true
+			}
+			e = c.routePacket(now, p)
+		}
+		c.release(w, i, e)
+	}
+	c.waiting.draining = false
+	if f := c.cache.flows[w.key]; f != nil && w.upstream == nil {
+		f.countedAsked = true
+	}
+	rec := Record{
+		Event: "request waited", Action: e.Action, Caller: w.key.caller, Address: w.key.service, Service: w.service.name, Detail: e.Reason.String(),
+		Token: e.Token, To: e.To, Rank: w.rank, Waiting: w.service.queue.Len(), Waited: now - w.since,
+	}
+	if u := c.tokens[e.Token]; u != nil {
+		rec.Upstream = u.Key
+	}
+	c.emit(rec)
+	c.samples = append(c.samples, Sample{SampleWait, now - w.since})
+	c.recycle(w)
+}
+
+// serveWaiting gives free slots to waiting requests, and ends the wait of those that will not be served.
+func (c *Core) serveWaiting(now time.Duration) {
+	if len(c.waiting.byKey) == 0 {
+		return
+	}
+	for s := range c.waiting.services {
+		c.serveService(now, s)
+	}
+}
+
+func (c *Core) serveService(now time.Duration, s *service) {
+	for e := s.queue.Expired(now); e != nil; e = s.queue.Expired(now) {
+		cause := "the caller gives up"
+		if e.Rejectable {
+			cause = "no slot before the end of the attempt"
+		}
+		c.endWait(now, e.Value, cause)
+	}
+	if s.sharesStale {
+		c.computeShares(s)
+	}
+	c.serveLines(now, s)
+	for s.evacuated && s.queue.FreeLen() > 0 {
+		c.serve(now, s.queue.Next(now, nil, 0).Value)
+	}
+	c.rejectLate(now, s)
+	for served := true; served && s.queue.Len() > 0; {
+		served = false
+		for _, u := range s.own {
+			if u.suspect(now) || !c.hasRoomOnFlow(now, s, u) {
+				continue
+			}
+			var e *schedule.Entry[*waitingRequest]
+			if c.hasRoom(now, s, u) && c.isWorthwhile(now, s, u, loadcontrol.Class{}) {
+				e = s.queue.Next(now, &u.line, u.learnedWork(now))
+			} else {
+				e = s.queue.NextInLine(now, &u.line)
+			}
+			if e != nil {
+				c.serve(now, e.Value)
+				served = true
+			}
+		}
+	}
+	c.askForCredits(now, s)
+	for !c.hasOwn(now, s) && s.queue.FreeLen() > 0 && s.spill.Admits(now, s.spilled, loadcontrol.Class{}) && c.hasForeign(now, s) {
+		e := s.queue.Next(now, nil, s.work.Mean())
+		if e == nil {
+			break
+		}
+		c.serve(now, e.Value)
+	}
+}
+
+// serveLines serves requests on open flows that can't wait for a slot of their upstream, or whose upstream other
+// hosts are responsible for.
+func (c *Core) serveLines(now time.Duration, s *service) {
+	for _, u := range s.lined {
+		if u.stalled(now) || u.gone {
+			c.releaseLine(now, s, u)
+		}
+		for u.share == 0 && u.line.Len() > 0 && c.hasRoomOnFlow(now, s, u) {
+			c.serve(now, s.queue.NextInLine(now, &u.line).Value)
+		}
+	}
+	s.lined = slices.DeleteFunc(s.lined, func(u *upstream) bool { return u.line.Len() == 0 })
+}
+
+// rejectLate rejects SYNs that can't be in time any more while the service is overloaded: requests that
+// can be in time take all slots. The same holds where only upstreams of other hosts are left, since nobody
+// knows when they have room.
+func (c *Core) rejectLate(now time.Duration, s *service) {
+	borrows := !c.hasOwn(now, s)
+	for _, urgent := range []bool{false, true} {
+		if !borrows && !c.overloaded(now, s, loadcontrol.Class{Urgent: urgent}) {
+			continue
+		}
+		next := c.waiting.rejectable[classIndex(urgent)].First()
+		for w := next; w != nil; w = next {
+			next = w.links.Next()
+			if w.service != s {
+				continue
+			}
+			if !s.queue.Late(now, &w.entry) {
+				break
+			}
+			c.endWait(now, w, "overloaded")
+		}
+	}
+}
+
+// classIndex returns the index of the list of waiting requests of a class.
+func classIndex(urgent bool) int {
+	if urgent {
+		return 1
+	}
+	return 0
+}
+
+// hasOwn reports whether an upstream that this host is responsible for can take flows and is not slower than
+// its peers.
+func (c *Core) hasOwn(now time.Duration, s *service) bool {
+	for _, u := range s.own {
+		if !u.suspect(now) && !u.learned.Slow(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasForeign reports whether an upstream that other hosts are responsible for can take a flow.
+func (c *Core) hasForeign(now time.Duration, s *service) bool {
+	for _, u := range s.upstreams {
+		if u.share == 0 && u.usable() && !u.suspect(now) && float64(u.busy+u.opening) < u.learnedLimit(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// releaseLine sends on all requests that wait for an upstream. Their flows can't be moved, and the upstream
+// must be asked whether it still serves them.
+func (c *Core) releaseLine(now time.Duration, s *service, u *upstream) {
+	for u.line.Len() > 0 {
+		e := s.queue.NextInLine(now, &u.line)
+		if e == nil {
+			return
+		}
+		c.serve(now, e.Value)
+	}
+}
--- a/internal/dsr/service.go
+++ b/internal/dsr/service.go
@@ -41,6 +41,8 @@
 	// deadline is the longest deadline of the routes to the service; zero if a route declares none, or no
 	// latency objective.
 	deadline time.Duration
+	// lined holds the upstreams for which requests on open flows wait.
+	lined []*upstream
 	// asker decides when to ask other hosts for slots.
 	asker loadcontrol.Asker
 	// queue holds the requests that wait at this host.
--- a/internal/dsr/waiting.go
+++ b/internal/dsr/waiting.go
@@ -20,16 +20,9 @@
 	// attemptReserve is the part of an attempt that is left for the handshake when a waiting SYN is
 	// rejected.
 	attemptReserve = 100 * time.Millisecond
-	// stalledFactor is the multiple of the work after which an upstream without an answer is not
-	// waited for, and stalledMin the least time: the spread of the work, and short pauses of a host.
-	stalledFactor = 6
-	stalledMin    = 150 * time.Millisecond
 	// waitingInterval is how often the core is called while requests wait: for limits below one request,
 	// deadlines, and upstreams that stop answering.
 	waitingInterval = 5 * time.Millisecond
-	// lookaheadObjective is the multiple of the work that the latency objective must be for an upstream to
-	// get one request more than it works on. It covers the way of the acknowledgement.
-	lookaheadObjective = 4
 )
 
 // HoldID identifies a packet that waits at the host.
@@ -92,67 +85,6 @@
 // answer is in time and when callers give up.
 func (s *service) schedules() bool { return s.latencyObjective > 0 && s.deadline > 0 }
 
-// limitAt returns the number of requests of this host that an upstream works on, and one more if the
-// latency objective leaves the time for it.
-func (c *Core) limitAt(now time.Duration, s *service, u *upstream, slots float64) float64 {
-	share := u.share
-	if share == 0 {
-		share = 1
-	}
-	limit := share * slots
-	if work := u.learnedWork(now); work > 0 && s.latencyObjective >= lookaheadObjective*work {
-		limit += share
-	}
-	return limit
-}
-
-// hasRoom reports whether another request of this host may be sent to an upstream. The load of those that
-// other hosts are responsible for is not known; all of them together have a window.
-func (c *Core) hasRoom(now time.Duration, s *service, u *upstream) bool {
-	return c.hasRoomFor(now, s, u, u.learnedLimit(now))
-}
-
-// hasRoomOnFlow is like hasRoom for a request on an open flow. Such a request can't go elsewhere, so an upstream
-// that is slow takes it as soon as it works on fewer than it can.
-func (c *Core) hasRoomOnFlow(now time.Duration, s *service, u *upstream) bool {
-	return c.hasRoomFor(now, s, u, u.learnedKnee(now))
-}
-
-func (c *Core) hasRoomFor(now time.Duration, s *service, u *upstream, slots float64) bool {
-	if u.share == 0 {
-		return s.spill.Admits(now, s.spilled, loadcontrol.Class{}) && float64(u.busy+u.opening) < slots
-	}
-	return u.pacer.Admits(now, float64(u.busy+u.opening+u.lender.Lent(now)), c.limitAt(now, s, u, slots), loadcontrol.Class{}, u.learnedWork(now))
-}
-
-// isWorthwhile reports whether an upstream that is slower than its peers is expected to answer a new flow no
-// later than they would after the wait for one of them.
-func (c *Core) isWorthwhile(now time.Duration, s *service, u *upstream, class loadcontrol.Class) bool {
-	if !u.learned.Slow(now) || u.wantsProbe(now, class) {
-		return true
-	}
-	slots := 0.0
-	for _, v := range s.own {
-		if !v.suspect(now) && !v.learned.Slow(now) {
-			slots += v.share * v.learnedLimit(now)
-		}
-	}
-	if slots == 0 {
-		return true
-	}
-	work := float64(s.peers.Work())
-	return work*(1+float64(s.queue.FreeLen()+1)/slots) >= float64(u.learnedWork(now))
-}
-
-// stalled reports whether the upstream has not answered for so long that requests must not wait for it.
-func (u *upstream) stalled(now time.Duration) bool {
-	if u.suspect(now) {
-		return true
-	}
-	since := max(u.lastAnswerAt, u.busySince)
-	return u.busy+u.opening > 0 && now-since > max(stalledMin, stalledFactor*u.learnedWork(now))
-}
-
 // holdRequest decides whether a packet on an open flow waits, and returns the effect if it does. Copies of
 // packets that wait are dropped, since the packet itself is sent later.
 func (c *Core) holdRequest(now time.Duration, f *flow, p *Packet) (Effect, bool) {
@@ -237,6 +169,9 @@
 	var line *schedule.Line[*waitingRequest]
 	if w.upstream != nil {
 		line = &w.upstream.line
+		if line.Len() == 0 {
+			w.service.lined = append(w.service.lined, w.upstream)
+		}
 	}
 	w.service.asked(now, w.class)
 	w.service.queue.Add(now, &w.entry, line)
@@ -327,168 +262,6 @@
 	c.recycle(w)
 }
 
-// serve releases a request that takes a slot. It is routed anew, since the directory or the flow may
-// have changed meanwhile.
-func (c *Core) serve(now time.Duration, w *waitingRequest) {
-	c.forget(w)
-	c.waiting.draining = true
-	var e Effect
-	for i := range w.packets {
-		p := &w.packets[i].header
-		if p.SYN {
-			e = c.handleSYN(now, p)
-		} else {
-			if f := c.cache.flows[w.key]; f != nil && i == 0 {
-				f.countedAsked = true
-			}
-			e = c.routePacket(now, p)
-		}
-		c.release(w, i, e)
-	}
-	c.waiting.draining = false
-	if f := c.cache.flows[w.key]; f != nil && w.upstream == nil {
-		f.countedAsked = true
-	}
-	rec := Record{
-		Event: "request waited", Action: e.Action, Caller: w.key.caller, Address: w.key.service, Service: w.service.name, Detail: e.Reason.String(),
-		Token: e.Token, To: e.To, Rank: w.rank, Waiting: w.service.queue.Len(), Waited: now - w.since,
-	}
-	if u := c.tokens[e.Token]; u != nil {
-		rec.Upstream = u.Key
-	}
-	c.emit(rec)
-	c.samples = append(c.samples, Sample{SampleWait, now - w.since})
-	c.recycle(w)
-}
-
-// serveWaiting gives free slots to waiting requests, and ends the wait of those that will not be served.
-func (c *Core) serveWaiting(now time.Duration) {
-	if len(c.waiting.byKey) == 0 {
-		return
-	}
-	for s := range c.waiting.services {
-		c.serveService(now, s)
-	}
-}
-
-func (c *Core) serveService(now time.Duration, s *service) {
-	for e := s.queue.Expired(now); e != nil; e = s.queue.Expired(now) {
-		cause := "the caller gives up"
-		if e.Rejectable {
-			cause = "no slot before the end of the attempt"
-		}
-		c.endWait(now, e.Value, cause)
-	}
-	if s.sharesStale {
-		c.computeShares(s)
-	}
-	for _, u := range s.upstreams {
-		if u.line.Len() == 0 {
-			continue
-		}
-		if u.stalled(now) || u.gone {
-			c.releaseLine(now, s, u)
-		}
-		for u.share == 0 && u.line.Len() > 0 && c.hasRoomOnFlow(now, s, u) {
-			c.serve(now, s.queue.NextInLine(now, &u.line).Value)
-		}
-	}
-	for s.evacuated && s.queue.FreeLen() > 0 {
-		c.serve(now, s.queue.Next(now, nil, 0).Value)
-	}
-	c.rejectLate(now, s)
-	for served := true; served && s.queue.Len() > 0; {
-		served = false
-		for _, u := range s.own {
-			if u.suspect(now) || !c.hasRoomOnFlow(now, s, u) {
-				continue
-			}
-			var e *schedule.Entry[*waitingRequest]
-			if c.hasRoom(now, s, u) && c.isWorthwhile(now, s, u, loadcontrol.Class{}) {
-				e = s.queue.Next(now, &u.line, u.learnedWork(now))
-			} else {
-				e = s.queue.NextInLine(now, &u.line)
-			}
-			if e != nil {
-				c.serve(now, e.Value)
-				served = true
-			}
-		}
-	}
-	c.askForCredits(now, s)
-	for !c.hasOwn(now, s) && s.queue.FreeLen() > 0 && s.spill.Admits(now, s.spilled, loadcontrol.Class{}) && c.hasForeign(now, s) {
-		e := s.queue.Next(now, nil, s.work.Mean())
-		if e == nil {
-			break
-		}
-		c.serve(now, e.Value)
-	}
-}
-
-// rejectLate rejects SYNs that can't be in time any more while the service is overloaded: requests that
-// can be in time take all slots. The same holds where only upstreams of other hosts are left, since nobody
-// knows when they have room.
-func (c *Core) rejectLate(now time.Duration, s *service) {
-	borrows := !c.hasOwn(now, s)
-	for _, urgent := range []bool{false, true} {
-		if !borrows && !c.overloaded(now, s, loadcontrol.Class{Urgent: urgent}) {
-			continue
-		}
-		next := c.waiting.rejectable[classIndex(urgent)].First()
-		for w := next; w != nil; w = next {
-			next = w.links.Next()
-			if w.service != s {
-				continue
-			}
-			if !s.queue.Late(now, &w.entry) {
-				break
-			}
-			c.endWait(now, w, "overloaded")
-		}
-	}
-}
-
-// classIndex returns the index of the list of waiting requests of a class.
-func classIndex(urgent bool) int {
-	if urgent {
-		return 1
-	}
-	return 0
-}
-
-// hasOwn reports whether an upstream that this host is responsible for can take flows and is not slower than
-// its peers.
-func (c *Core) hasOwn(now time.Duration, s *service) bool {
-	for _, u := range s.own {
-		if !u.suspect(now) && !u.learned.Slow(now) {
-			return true
-		}
-	}
-	return false
-}
-
-// hasForeign reports whether an upstream that other hosts are responsible for can take a flow.
-func (c *Core) hasForeign(now time.Duration, s *service) bool {
-	for _, u := range s.upstreams {
-		if u.share == 0 && u.usable() && !u.suspect(now) && float64(u.busy+u.opening) < u.learnedLimit(now) {
-			return true
-		}
-	}
-	return false
-}
-
-// releaseLine sends on all requests that wait for an upstream. Their flows can't be moved, and the upstream
-// must be asked whether it still serves them.
-func (c *Core) releaseLine(now time.Duration, s *service, u *upstream) {
-	for u.line.Len() > 0 {
-		e := s.queue.NextInLine(now, &u.line)
-		if e == nil {
-			return
-		}
-		c.serve(now, e.Value)
-	}
-}
-
 // waitOrReject decides on a SYN for which no upstream has room. It is rejected at once if it would not be
 // served, and waits otherwise.
 func (c *Core) waitOrReject(now time.Duration, p *Packet, r *route, ch choice) Effect {
