--- /dev/null
+++ b/internal/dsr/waiting_test.go
@@ -0,0 +1,273 @@
+package dsr
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mimosashore.example/mimosashore/internal/directory"
+)
+
+// schedulingFixture returns a core in zone a whose routes declare a latency objective and a deadline. The
+// service has two upstreams with two slots in the zone. Orders are more urgent than streams.
+func schedulingFixture(t *testing.T) *fixture {
+	f := newFixture(t)
+	config := configuration(2)
+	for i := range config.Routes {
+		config.Routes[i].LatencyObjective, config.Routes[i].Timeout = 400*time.Millisecond, 3*time.Second
+		config.Routes[i].Priority = 2 - i
+	}
+	f.rev++
+	f.core.Apply(f.now, &directory.Change{Revision: f.rev, Configuration: config})
+	return f
+}
+
+// fill opens flows with a request until the next SYN waits, and returns them and the caller that waits.
+func (f *fixture) fill(port uint16) (busy []*caller, waits *caller) {
+	for {
+		c := f.caller(port)
+		if c.sendSYN().Action == Hold {
+			return busy, c
+		}
+		require.Equal(f.t, Forward, c.last.Action)
+		c.completeHandshake()
+		c.request()
+		busy = append(busy, c)
+	}
+}
+
+// released returns the only release, which must be of the packet with the identifier.
+func (f *fixture) released(id HoldID) Effect {
+	r := f.core.TakeReleases()
+	require.Len(f.t, r, 1)
+	require.Equal(f.t, id, r[0].Hold)
+	return r[0].Effect
+}
+
+// Guards against SYNs that are dropped, and so wait for the caller's timer while slots get free.
+func TestSYNLeavesWhenSlotGetsFree(t *testing.T) {
+	f := schedulingFixture(t)
+	busy, waits := f.fill(streamPort)
+	require.Len(t, busy, 4, "two upstreams with two slots")
+	hold := waits.last.Hold
+	f.advance(30 * time.Millisecond)
+	busy[2].ackAnswer()
+	e := f.released(hold)
+	require.Equal(t, Forward, e.Action)
+	require.Equal(t, f.upstream(busy[2]).Addr, e.To)
+	requests, bytes := f.core.Waiting()
+	require.Zero(t, requests+bytes)
+}
+
+// Guards against a slot that is given away between the handshake of a flow and its first request.
+func TestOpenedFlowKeepsSlotForItsFirstRequest(t *testing.T) {
+	f := schedulingFixture(t)
+	busy, waits := f.fill(streamPort)
+	busy[0].ackAnswer()
+	require.Equal(t, Forward, f.released(waits.last.Hold).Action)
+	waits.token = f.core.tokens[busy[0].token].token
+	waits.completeHandshake()
+	require.Equal(t, Hold, f.caller(streamPort).sendSYN().Action)
+	require.Equal(t, Forward, waits.request().Action)
+}
+
+// A second upstream must not answer a flow because a copy of its SYN was forwarded as well.
+func TestCopiesOfWaitingSYNAreDropped(t *testing.T) {
+	f := schedulingFixture(t)
+	busy, waits := f.fill(streamPort)
+	hold := waits.last.Hold
+	require.Equal(t, ReasonWaitingCopy, waits.retransmitSYN(1).Reason)
+	require.Equal(t, ReasonWaitingCopy, waits.sendSYN().Reason)
+	waits.seq = 900
+	require.Equal(t, Hold, waits.sendSYN().Action, "another attempt from the same port")
+	require.Equal(t, Drop, f.released(hold).Action)
+	busy[0].ackAnswer()
+	require.Equal(t, Forward, f.released(waits.last.Hold).Action)
+}
+
+// fillFlows returns callers with open flows that have had an answer, and makes the slots busy.
+func (f *fixture) fillFlows() (idle, busy []*caller) {
+	for range 4 {
+		c := f.openFlow(streamPort)
+		c.request()
+		f.advance(20 * time.Millisecond)
+		c.ackAnswer()
+		idle = append(idle, c)
+	}
+	for range 20 {
+		c := f.caller(orderPort)
+		if c.sendSYN().Action == Hold {
+			return idle, busy
+		}
+		c.completeHandshake()
+		c.request()
+		busy = append(busy, c)
+	}
+	f.t.Fatal("slots do not fill")
+	return nil, nil
+}
+
+// Requests on open flows must not queue at their upstream, where nobody puts them in order. Their packets are
+// sent in order, and acknowledgements do not wait.
+func TestRequestOnOpenFlowWaits(t *testing.T) {
+	f := schedulingFixture(t)
+	idle, busy := f.fillFlows()
+	c := idle[0]
+	require.Equal(t, Hold, c.request().Action)
+	first := c.last.Hold
+	require.Equal(t, ReasonWaitingCopy, c.retransmit().Reason)
+	require.Equal(t, Hold, c.request().Action, "the next packet of the request")
+	second := c.last.Hold
+	require.Equal(t, Forward, c.send(flagACK, 0, 0).Action)
+	for _, b := range busy {
+		if f.upstream(b) == f.upstream(c) {
+			f.advance(time.Millisecond)
+			b.ackAnswer()
+		}
+	}
+	var sent []HoldID
+	for _, r := range f.core.TakeReleases() {
+		if r.Header.Caller == c.address() {
+			require.Equal(t, Forward, r.Effect.Action)
+			require.Equal(t, f.upstream(c).Addr, r.Effect.To)
+			sent = append(sent, r.Hold)
+		}
+	}
+	require.Equal(t, []HoldID{first, second}, sent)
+}
+
+// A request whose caller has ended the flow must not take a slot.
+func TestWaitingRequestEndsWithItsFlow(t *testing.T) {
+	f := schedulingFixture(t)
+	idle, _ := f.fillFlows()
+	require.Equal(t, Hold, idle[0].request().Action)
+	hold := idle[0].last.Hold
+	require.Equal(t, Forward, idle[0].send(flagACK|flagFIN, 0, 0).Action)
+	require.Equal(t, Drop, f.released(hold).Action)
+}
+
+// "Rejected" must mean that nothing has run: a SYN whose first copy went to another host may have opened the
+// flow. A request on an open flow must never be reset.
+func TestOnlyFirstSYNIsRejected(t *testing.T) {
+	f := schedulingFixture(t)
+	idle, _ := f.fillFlows()
+	first, later := f.caller(streamPort), f.caller(streamPort)
+	want := map[HoldID]Action{}
+	require.Equal(t, Hold, first.sendSYN().Action)
+	want[first.last.Hold] = Reset
+	require.Equal(t, Hold, later.retransmitSYN(1).Action)
+	want[later.last.Hold] = Drop
+	require.Equal(t, Hold, idle[0].request().Action)
+	want[idle[0].last.Hold] = Drop
+	got := map[HoldID]Action{}
+	// Orders keep the slots busy until the deadlines have passed.
+	for range 400 {
+		f.advance(10 * time.Millisecond)
+		for _, u := range f.core.services["orders"].own {
+			u.lastAnswerAt = f.now
+		}
+		f.core.Advance(f.now)
+		for _, r := range f.core.TakeReleases() {
+			got[r.Hold] = r.Effect.Action
+		}
+		for key, fl := range f.core.cache.flows {
+			if key.service == serviceAddress(orderPort) && fl.phase == phaseIdle {
+				f.core.cache.setPhase(f.now, fl, phaseBusy)
+			}
+		}
+	}
+	for id, action := range want {
+		require.Equal(t, action, got[id], "hold %d", id)
+	}
+}
+
+// Guards against less urgent requests that take the slots of urgent ones.
+func TestUrgentRequestLeavesFirst(t *testing.T) {
+	f := schedulingFixture(t)
+	busy, stream := f.fill(streamPort)
+	order := f.caller(orderPort)
+	require.Equal(t, Hold, order.sendSYN().Action)
+	f.advance(10 * time.Millisecond)
+	busy[0].ackAnswer()
+	require.Equal(t, Forward, f.released(order.last.Hold).Action)
+	busy[1].ackAnswer()
+	require.Equal(t, Forward, f.released(stream.last.Hold).Action)
+}
+
+// Requests on open flows must not wait for an upstream that has crashed: only its reset tells their callers.
+func TestRequestDoesNotWaitForUpstreamWithoutAnswers(t *testing.T) {
+	f := schedulingFixture(t)
+	idle, _ := f.fillFlows()
+	require.Equal(t, Hold, idle[0].request().Action)
+	hold := idle[0].last.Hold
+	f.advance(stalledMin / 2)
+	f.core.Advance(f.now)
+	require.Empty(t, f.core.TakeReleases())
+	f.advance(stalledMin)
+	f.core.Advance(f.now)
+	require.Equal(t, Forward, f.released(hold).Action)
+}
+
+// A flood of a hundred times the free capacity must not take memory without bound.
+func TestWaitingIsBounded(t *testing.T) {
+	f := schedulingFixture(t)
+	f.fill(streamPort)
+	for n := range 2 * maxWaiting {
+		var p Packet
+		p.Caller, p.Service = manyCallers(n), serviceAddress(streamPort)
+		p.SYN, p.Seq = true, uint32(n)
+		f.core.handleSYN(f.now, &p)
+		requests, bytes := f.core.Waiting()
+		require.LessOrEqual(t, requests, maxWaiting)
+		require.LessOrEqual(t, bytes, maxWaitingBytes)
+	}
+	rejected := 0
+	for _, r := range f.core.TakeReleases() {
+		require.Equal(t, Reset, r.Effect.Action)
+		rejected++
+	}
+	require.GreaterOrEqual(t, rejected, maxWaiting)
+}
+
+// A planned stop must not leave callers waiting for a host that is gone.
+func TestStopEndsAllWaits(t *testing.T) {
+	f := schedulingFixture(t)
+	idle, _ := f.fillFlows()
+	require.Equal(t, Hold, idle[0].request().Action)
+	syn := f.caller(streamPort)
+	require.Equal(t, Hold, syn.sendSYN().Action)
+	f.core.StopWaiting(f.now)
+	actions := map[HoldID]Action{}
+	for _, r := range f.core.TakeReleases() {
+		actions[r.Hold] = r.Effect.Action
+	}
+	require.Equal(t, Forward, actions[idle[0].last.Hold])
+	require.Equal(t, Reset, actions[syn.last.Hold])
+	requests, _ := f.core.Waiting()
+	require.Zero(t, requests)
+}
+
+// A zone that is evacuated while callers wait must get none of them.
+func TestEvacuationEndsWaits(t *testing.T) {
+	f := schedulingFixture(t)
+	_, waits := f.fill(streamPort)
+	f.rev++
+	ch := &directory.Change{Revision: f.rev}
+	for _, zone := range []string{"a", "b", "c"} {
+		ch.Evacuations = append(ch.Evacuations, directory.Evacuation{Key: "evacuate/" + zone, Zone: zone, Revision: f.rev})
+	}
+	f.core.Apply(f.now, ch)
+	f.core.Advance(f.now)
+	e := f.released(waits.last.Hold)
+	require.Equal(t, Reset, e.Action)
+	require.Equal(t, ReasonEvacuated, e.Reason)
+}
+
+// Services whose routes declare no latency objective or no deadline are served as before.
+func TestNothingWaitsWithoutObjectives(t *testing.T) {
+	f := newFixture(t)
+	for range 50 {
+		require.NotEqual(t, Hold, f.caller(streamPort).sendSYN().Action)
+	}
+}
