--- a/internal/dsr/lending.go
+++ b/internal/dsr/lending.go
@@ -11,6 +11,8 @@
 	Service string
 	// Wanted is the number of slots, Denials the number of earlier requests in a row that got none.
 	Wanted, Denials int
+	// Elsewhere is set if the zone of this host has no upstream that can take flows.
+	Elsewhere bool
 	// At is when the core asked.
 	At time.Duration
 }
@@ -27,7 +29,7 @@
 	if wanted <= 0 || c.position.Count <= 1 || !s.asker.Ask(now) {
 		return
 	}
-	c.asks = append(c.asks, Ask{Service: s.name, Wanted: wanted, Denials: s.asker.Denials(), At: now})
+	c.asks = append(c.asks, Ask{Service: s.name, Wanted: wanted, Denials: s.asker.Denials(), Elsewhere: len(s.own) == 0, At: now})
 }
 
 // TakeAsks returns the requests for credits since the last call of TakeAsks. They are valid until the next call
--- a/internal/dsr/loadworld_test.go
+++ b/internal/dsr/loadworld_test.go
@@ -319,7 +319,7 @@
 func (w *loadWorld) carryAsks(c *Core) {
 	for _, a := range append([]Ask(nil), c.TakeAsks()...) {
 		for range 2 {
-			lender := w.otherHost(c, a.Denials)
+			lender := w.otherHost(c, a.Denials >= 2 || a.Elsewhere)
 			if lender == nil {
 				continue
 			}
@@ -334,12 +334,12 @@
 	}
 }
 
-// otherHost returns a random other host: of the same zone, or of any after two denials.
-func (w *loadWorld) otherHost(c *Core, denials int) *Core {
+// otherHost returns a random other host: of the same zone, or of any zone.
+func (w *loadWorld) otherHost(c *Core, anywhere bool) *Core {
 	var hosts []*Core
 	for z, all := range w.zones {
 		for _, h := range all {
-			if h != c && (denials >= 2 || c.zone == fmt.Sprint("zone", z)) {
+			if h != c && (anywhere || c.zone == fmt.Sprint("zone", z)) {
 				hosts = append(hosts, h)
 			}
 		}
--- a/internal/dsrpeer/credits.go
+++ b/internal/dsrpeer/credits.go
@@ -129,7 +129,7 @@
 // Ask sends a request for credits to random other hosts.
 func (c *Credits) Ask(a dsr.Ask) {
 	id := rand.Uint64()
-	for _, host := range c.peer.peers.hostsToAsk(c.now(), a.Denials) {
+	for _, host := range c.peer.peers.hostsToAsk(c.now(), a.Denials, a.Elsewhere) {
 		to := netip.AddrPortFrom(host.Addr(), c.port())
 		if !c.expect(pendingKey{id, to}, pendingRequest{a.Service, a.At}) {
 			return
@@ -256,8 +256,9 @@
 	return &m, nil
 }
 
-// hostsToAsk returns random known hosts of the zone. After foreignZoneDenials one of them is of another zone.
-func (t *peerTable) hostsToAsk(now time.Duration, denials int) []netip.AddrPort {
+// hostsToAsk returns random known hosts of the zone. After foreignZoneDenials one of them is of another zone, and if
+// elsewhere is set all are.
+func (t *peerTable) hostsToAsk(now time.Duration, denials int, elsewhere bool) []netip.AddrPort {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
@@ -271,10 +272,14 @@
 	}
 	shuffle(same)
 	shuffle(others)
-	if denials < foreignZoneDenials && len(same) > 0 {
-		others = nil
+	foreign := 0
+	switch {
+	case elsewhere || len(same) == 0:
+		foreign = hostsAsked
+	case denials >= foreignZoneDenials:
+		foreign = 1
 	}
-	out := others[:min(len(others), 1)]
+	out := others[:min(len(others), foreign)]
 	return append(out, same[:min(len(same), hostsAsked-len(out))]...)
 }
 
--- a/internal/dsrpeer/credits_test.go
+++ b/internal/dsrpeer/credits_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,9 +16,9 @@
 
 // creditHosts returns the exchanges of two hosts of a zone that know each other, on loopback addresses with the
 // same port.
-func creditHosts(t *testing.T) (a, b *Credits, now *time.Duration) {
-	now = new(time.Duration)
-	clock := func() time.Duration { return *now }
+func creditHosts(t *testing.T) (a, b *Credits, now *atomic.Int64) {
+	now = new(atomic.Int64)
+	clock := func() time.Duration { return time.Duration(now.Load()) }
 	var port uint16
 	listen := func(ip, other string) *Credits {
 		control := netip.AddrPortFrom(netip.MustParseAddr(ip), 9000)
@@ -80,7 +81,7 @@
 		a.receive(valid, from)
 		require.Equal(t, before+1, a.Stats.Rejected.Load(), name)
 	}
-	*now = time.Second
+	now.Store(int64(time.Second))
 	b.Answer(r, []dsr.Credit{{Token: 1, Count: 1}})
 	require.Eventually(t, func() bool { return a.Stats.Rejected.Load() == 4 }, 5*time.Second, time.Millisecond)
 	require.Empty(t, a.Answers)
@@ -113,12 +114,15 @@
 	}
 	zoneOf := func(a netip.AddrPort) string { return table.hosts[a].zone }
 	for range 50 {
-		for _, a := range table.hostsToAsk(0, 0) {
+		for _, a := range table.hostsToAsk(0, 0, false) {
 			require.Equal(t, "a", zoneOf(a))
 		}
-		asked := table.hostsToAsk(0, foreignZoneDenials)
+		asked := table.hostsToAsk(0, foreignZoneDenials, false)
 		require.Len(t, asked, hostsAsked)
 		require.Equal(t, "b", zoneOf(asked[0]))
 		require.Equal(t, "a", zoneOf(asked[1]))
+		for _, a := range table.hostsToAsk(0, 0, true) {
+			require.Equal(t, "b", zoneOf(a))
+		}
 	}
 }
--- a/internal/schedule/outlook.go
+++ b/internal/schedule/outlook.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"math"
 	"math/bits"
 	"time"
 )
@@ -13,6 +14,8 @@
 	// reservedRate is the part of the slots that less urgent priorities get in any case, and the least
 	// that a priority is expected to get.
 	reservedRate = 1.0 / reservedInterval
+	// irregularity is the number of standard deviations by which slots may get free sooner than on average.
+	irregularity = 2
 	// leastRate is the least part of the slots that is assumed to be left for a request.
 	leastRate = 0.01
 )
@@ -145,7 +148,10 @@
 		}
 	}
 	a.Wait = time.Duration(float64(ahead) / a.Rate * float64(time.Second))
-	a.InTime = now+a.Wait <= start
+	// Slots get free at irregular times. A request is given up only if it would be late also when they do so by
+	// two standard deviations sooner: otherwise slots would find no request that can be in time.
+	soonest := max(0, float64(ahead)-irregularity*math.Sqrt(float64(ahead))) / a.Rate
+	a.InTime = now+time.Duration(soonest*float64(time.Second)) <= start
 	// While the demand exceeds the supply, late requests of the least urgent priority get no slot: those
 	// that can be in time take them all. Late ones of another priority get one if it fits the slots.
 	fits := !s.Lasting || lessUrgent && upToOwn <= s.Rate*(1-reservedRate)
