--- a/internal/dsr/service.go
+++ b/internal/dsr/service.go
@@ -41,6 +41,8 @@
 	// deadline is the longest deadline of the routes to the service; zero if a route declares none, or no
 	// latency objective.
 	deadline time.Duration
+	// urgentWaiting is the number of urgent requests in the queue.
+	urgentWaiting int
 	// lined holds the upstreams for which requests on open flows wait.
 	lined []*upstream
 	// asker decides when to ask other hosts for slots.
@@ -105,11 +107,11 @@
 // overloaded reports whether a caller that has to wait would not be served. Urgent callers compete
 // with urgent ones only.
 func (c *Core) overloaded(now time.Duration, s *service, class loadcontrol.Class) bool {
-	d := &s.demand
+	d, waiting := &s.demand, s.waiting+s.queue.Len()
 	if class.Urgent {
-		d = &s.urgentDemand
+		d, waiting = &s.urgentDemand, s.waiting+s.urgentWaiting
 	}
-	return d.Exceeds(now, c.answeringSlots(now, s), s.work.Mean(), s.waiting+s.queue.Len())
+	return d.Exceeds(now, c.answeringSlots(now, s), s.work.Mean(), waiting)
 }
 
 // SetPosition sets the place of this host among the hosts of its zone.
--- a/internal/dsr/waiting.go
+++ b/internal/dsr/waiting.go
@@ -175,6 +175,7 @@
 	}
 	w.service.asked(now, w.class)
 	w.service.queue.Add(now, &w.entry, line)
+	w.service.urgentWaiting += classIndex(w.class.Urgent)
 	c.waiting.byKey[w.key] = w
 	if w.entry.Rejectable {
 		c.waiting.rejectable[classIndex(w.class.Urgent)].Push(w)
@@ -211,6 +212,7 @@
 // forget removes a request from all that waits. Its packets are still to be released.
 func (c *Core) forget(w *waitingRequest) {
 	w.service.queue.Remove(&w.entry)
+	w.service.urgentWaiting -= classIndex(w.class.Urgent)
 	c.waiting.rejectable[classIndex(w.class.Urgent)].Remove(w)
 	delete(c.waiting.byKey, w.key)
 	c.waiting.bytes -= w.bytes
--- a/internal/schedule/outlook.go
+++ b/internal/schedule/outlook.go
@@ -15,7 +15,7 @@
 	// that a priority is expected to get.
 	reservedRate = 1.0 / reservedInterval
 	// irregularity is the number of standard deviations by which slots may get free sooner than on average.
-	irregularity = 2
+	irregularity = 1.5
 	// leastRate is the least part of the slots that is assumed to be left for a request.
 	leastRate = 0.01
 )
@@ -149,7 +149,7 @@
 	}
 	a.Wait = time.Duration(float64(ahead) / a.Rate * float64(time.Second))
 	// Slots get free at irregular times. A request is given up only if it would be late also when they do so by
-	// two standard deviations sooner: otherwise slots would find no request that can be in time.
+	// as much sooner as is likely: otherwise slots would find no request that can be in time.
 	soonest := max(0, float64(ahead)-irregularity*math.Sqrt(float64(ahead))) / a.Rate
 	a.InTime = now+time.Duration(soonest*float64(time.Second)) <= start
 	// While the demand exceeds the supply, late requests of the least urgent priority get no slot: those
