--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -19,7 +19,7 @@
 	// slowFactor is the multiple of the reference above which an upstream is judged slow, with the
 	// weight slowWeight of the pairs above it. The judgement ends below usualWeight.
 	slowFactor  = 1.4
-	slowWeight  = 0.97
+	slowWeight  = 0.9
 	usualWeight = 0.5
 	// minSlowness is the least multiple of the reference of the mean work of a slow upstream.
 	minSlowness = 1.5
@@ -80,8 +80,10 @@
 	limit int
 	slow  bool
 	// slowSince is when the first of the latest slow requests was sent; zero if the last was not slow.
-	slowSince  time.Duration
-	lastSlow   uint64
+	slowSince time.Duration
+	lastSlow  uint64
+	// aboveAt is when more requests than the limit were last in progress.
+	aboveAt    time.Duration
 	samples    int
 	updatedAt  time.Duration
 	evidence   Evidence
@@ -144,7 +146,10 @@
 		e.filter.reset(slots, g.reference)
 		e.slow, e.samples, e.slowSince = false, 0, 0
 	} else {
-		e.filter.relax(now-e.updatedAt, g.reference)
+		e.filter.relax(now-e.updatedAt, g.reference, e.limit < slots && now-e.aboveAt > forgetAfter)
+	}
+	if o.inProgress > min(e.limit, slots-1) {
+		e.aboveAt = now
 	}
 	e.filter.apply(&o)
 	e.samples++
--- a/internal/capacity/filter.go
+++ b/internal/capacity/filter.go
@@ -13,15 +13,16 @@
 	levelFactor = 1.3
 	// kneeLevels is the largest number of knees for a number of slots.
 	kneeLevels = 6
-	// changeTime is the mean time between two changes of the work that the filter expects, kneeTime the time
-	// in which it forgets a knee below the slots: while fewer requests are in progress, nothing shows that
-	// the upstream takes more again.
+	// changeTime is the mean time between two changes of the work or the knee that the filter expects.
 	changeTime = 20 * time.Second
-	kneeTime   = 2500 * time.Millisecond
+	// forgetAfter is the time after which the filter begins to forget a knee below the slots while no more requests are
+	// in progress, and kneeTime the time in which it does: nothing shows then that the upstream takes more again.
+	forgetAfter = 500 * time.Millisecond
+	kneeTime    = 1500 * time.Millisecond
 	// minChange is the least probability of a change between two samples.
 	minChange = 0.002
 	// kneeProbability is that of a knee below the slots.
-	kneeProbability = 0.02
+	kneeProbability = 0.05
 	// nearReference is the part of the changes that lead back to the work of the peers.
 	nearReference = 0.5
 	// spread is the standard deviation of the logarithm of the time that an answer takes. That of work with a
@@ -31,13 +32,13 @@
 	tailShare  = 0.03
 	tailFactor = 7
 	// lostShare is the part of the answers that take any time: an acknowledgement may be lost or late.
-	lostShare = 0.0005
+	lostShare = 0.0002
 	// unseenShare is the part of the answers that callers do not acknowledge: they acknowledge every second
 	// packet.
 	unseenShare = 0.05
 	// shedUnexplained is the likelihood of a rejection below the knee, in relation to one above it: other hosts
 	// may send requests as well.
-	shedUnexplained = 0.05
+	shedUnexplained = 0.02
 	// tableSteps is the number of entries of the tables of likelihoods for each level of work, tableRange the
 	// largest distance in levels.
 	tableSteps = 5
@@ -169,9 +170,13 @@
 }
 
 // relax lets a part of the probabilities return to those of a new upstream, for changes since the last sample.
-func (f *filter) relax(since, reference time.Duration) {
+// If forgets is set, nothing has shown for long where the knee is.
+func (f *filter) relax(since, reference time.Duration, forgets bool) {
 	change := float32(max(1-math.Exp(-float64(since)/float64(changeTime)), minChange))
-	forget := float32(1 - math.Exp(-float64(since)/float64(kneeTime)))
+	forget := float32(0)
+	if forgets {
+		forget = float32(1 - math.Exp(-float64(since)/float64(kneeTime)))
+	}
 	prior := workPrior(reference)
 	n := f.kneeCount()
 	for w := range workLevels {
