dsr: tests of what is learned from flows; the way is taken from the zone

Cause: one delayed handshake made all answers on its flow look quick. Change: the time on the way is the usual handshake of the zone. Tests of the judgement in the log, probes, limits of an upstream that answers late, unanswered requests, and rejections; of the reference while most upstreams of a host are slow, and of one caller.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -127,6 +127,38 @@
 	require.LessOrEqual(t, backLate, seeds/100)
 }
 
+// A link that loses packets delays many answers to one caller, which must not count like those to several.
+func TestSlowAnswersToOneCaller(t *testing.T) {
+	for callers, slow := range map[uint64]bool{1: false, 4: true} {
+		var g Group
+		var e, peer Estimate
+		now := time.Duration(0)
+		play(&now, &g, &e, &peer, repeat(3, usualSamples...))
+		for n := range uint64(4) {
+			now += 100 * time.Millisecond
+			peer.Add(now, &g, 2, Sample{Start: now - testWork, End: now, InProgress: 1})
+			e.Add(now, &g, 2, Sample{Start: now - 6*testWork, End: now, InProgress: 1, Caller: 1 + n%callers})
+		}
+		require.Equal(t, slow, e.Slow(now), "%d callers", callers)
+	}
+}
+
+// Of the few upstreams that a host is responsible for, more than half may turn slow while half of all do. The others
+// must stay the reference.
+func TestMostUpstreamsTurnSlow(t *testing.T) {
+	for seed := range uint64(50) {
+		w := newTestGroup(seed, 5, 2, 10)
+		w.runFor(5 * time.Second)
+		for _, p := range w.peers[:3] {
+			p.work *= 6
+		}
+		w.runFor(4 * time.Second)
+		for i, p := range w.peers {
+			require.Equal(t, i < 3, p.estimate.Slow(w.Now()), "upstream %d, seed %d", i, seed)
+		}
+	}
+}
+
 // What must not look like slowness: each case plays 30 s at four upstreams for 50 seeds.
 func TestNoFalseJudgements(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/dsr/learned.go
+++ b/internal/dsr/learned.go
@@ -207,11 +207,12 @@
 	if u.gone || c.linkMonitor.degradedAt >= f.busyAt {
 		return
 	}
+	// A single handshake may have been delayed.
 	s := capacity.Sample{
-		Start: f.busyAt, End: now, Transit: f.handshake, InProgress: f.inProgress, Retransmitted: f.resentAt != 0, ResentAt: f.resentAt,
+		Start: f.busyAt, End: now, Transit: u.zone.transit, InProgress: f.inProgress, Retransmitted: f.resentAt != 0, ResentAt: f.resentAt,
 		AtMost: early, Counted: f.counted, Caller: callerID(f.key),
 	}
-	if quick := quickFactor * float64(u.service.peers.Reference()); float64(now-f.busyAt-f.handshake) >= quick {
+	if quick := quickFactor * float64(u.service.peers.Reference()); float64(now-f.busyAt-u.zone.transit) >= quick {
 		if f.inProgress == 1 {
 			u.service.quickShare -= quickWeight * u.service.quickShare
 		}
@@ -288,13 +289,13 @@
 	c.learner.nextPendingAt = now + pendingInterval
 	for f := c.cache.busy.First(); f != nil && now-f.busyAt > pendingInterval; f = f.phaseLinks.Next() {
 		u := f.upstream
-		waited := now - f.busyAt - f.handshake
+		waited := now - f.busyAt - u.zone.transit
 		reference := u.service.peers.Reference()
 		if f.counted != 0 || f.resentAt != 0 || reference == 0 || waited < pendingFactor*reference || u.gone || c.linkMonitor.degradedAt >= f.busyAt {
 			continue
 		}
 		f.counted = now - f.busyAt
-		c.estimate(u).Pending(now, &u.service.peers, u.Slots, f.busyAt, f.handshake, f.inProgress)
+		c.estimate(u).Pending(now, &u.service.peers, u.Slots, f.busyAt, u.zone.transit, f.inProgress)
 		c.noteJudgement(now, u, f.busyAt)
 	}
 }
--- /dev/null
+++ b/internal/dsr/learnedflows_test.go
@@ -0,0 +1,146 @@
+package dsr
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// learnUsual gives the estimates of both upstreams of the zone samples of 40 ms, with one request at a time.
+func (f *fixture) learnUsual() {
+	for range 40 {
+		f.exchange(f.openFlow(orderPort), 40*time.Millisecond, 0)
+	}
+	require.InDelta(f.t, 0.040, f.core.services["orders"].peers.Reference().Seconds(), 0.012)
+}
+
+// exchange sends a request on an open flow and acknowledges the answer after the given time, with flags.
+func (f *fixture) exchange(c *caller, d time.Duration, flags byte) {
+	c.request()
+	f.advance(d + 7*time.Millisecond)
+	c.ack += 2000
+	c.send(flagACK|flags, 0, 0)
+	f.advance(10 * time.Millisecond)
+}
+
+// judgements returns the records of changed judgements.
+func (f *fixture) judgements() (all []Record) {
+	for _, r := range f.core.TakeRecords() {
+		if r.Samples != 0 {
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+// slowUpstream makes the upstream of a new flow slow and returns it.
+func (f *fixture) slowUpstream() *upstream {
+	f.learnUsual()
+	c := f.openFlow(streamPort)
+	u := f.upstream(c)
+	for range 6 {
+		for other := f.openFlow(streamPort); f.upstream(other) != u; other = f.openFlow(streamPort) {
+			f.exchange(other, 40*time.Millisecond, flagFIN)
+		}
+		f.exchange(f.openFlowOnSameUpstream(c, streamPort), 250*time.Millisecond, flagFIN)
+	}
+	return u
+}
+
+// The log must tell from which samples an upstream was judged, and the choice must avoid it except for probes.
+func TestSlowUpstreamIsJudgedAndProbed(t *testing.T) {
+	f := newFixture(t)
+	f.core.routes[serviceAddress(streamPort)].LatencyObjective = 300 * time.Millisecond
+	f.core.services["orders"].latencyObjective = 300 * time.Millisecond
+	u := f.slowUpstream()
+	require.True(t, u.learned.Slow(f.now))
+	records := f.judgements()
+	require.Len(t, records, 1)
+	r := records[0]
+	require.Equal(t, []string{"like its peers", "slow", u.Key}, []string{r.FromJudgement, r.Detail, r.Upstream})
+	require.NotEmpty(t, r.Evidence)
+	require.InDelta(t, 0.040, r.PeerWork.Seconds(), 0.012)
+	require.Greater(t, r.LearnedWork, 150*time.Millisecond)
+	require.Equal(t, 1, f.core.LearnedCounts().Slow)
+	require.Greater(t, u.learnedWork(f.now), 150*time.Millisecond)
+
+	probes := 0
+	for range 40 {
+		if c := f.openFlow(streamPort); f.upstream(c) == u {
+			probes++
+			c.send(flagACK|flagFIN, 0, 0)
+		}
+		f.advance(93 * time.Millisecond)
+	}
+	require.InDelta(t, 2, probes, 1, "in 4 s, one in 1.8 s")
+
+	f.core.markGone(f.now, u, "test", Evidence{})
+	require.Zero(t, f.core.LearnedCounts().Slow)
+}
+
+// A slow upstream whose work exceeds the latency objective gets one request at a time at most, and an open flow may
+// use its slots all the same.
+func TestLimitOfUpstreamThatAnswersLate(t *testing.T) {
+	f := newFixture(t)
+	u := f.slowUpstream()
+	require.EqualValues(t, 2, u.learnedLimit(f.now), "no objective")
+	f.core.services["orders"].latencyObjective = 100 * time.Millisecond
+	require.Less(t, u.learnedLimit(f.now), 0.5)
+	require.Positive(t, u.learnedLimit(f.now))
+	require.EqualValues(t, 2, u.learnedKnee(f.now))
+}
+
+// A request without an answer is evidence before its answer comes, but not if its caller sent it again, which a lossy
+// link explains, nor if the host stood still meanwhile.
+func TestUnansweredRequestsAreEvidence(t *testing.T) {
+	for name, c := range map[string]struct {
+		disturb func(f *fixture, c *caller)
+		counted bool
+	}{
+		"unanswered":  {func(*fixture, *caller) {}, true},
+		"sent again":  {func(_ *fixture, c *caller) { c.retransmit() }, false},
+		"host paused": {func(f *fixture, _ *caller) { f.core.linkMonitor.markDegraded(f.now) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.learnUsual()
+			flow := f.openFlow(streamPort)
+			flow.request()
+			u := f.upstream(flow)
+			before := 0
+			if u.learned != nil {
+				before, _ = u.learned.Samples()
+			}
+			f.advance(30 * time.Millisecond)
+			c.disturb(f, flow)
+			f.advance(150 * time.Millisecond)
+			f.core.State(f.now)
+			after, _ := u.learned.Samples()
+			require.Equal(t, c.counted, after > before)
+		})
+	}
+}
+
+// A caller that ends a flow after a quick answer and comes back at once was rejected. A quick answer alone is none.
+func TestCallerThatComesBackWasRejected(t *testing.T) {
+	f := newFixture(t)
+	f.learnUsual()
+	reject := func(flags byte, back bool) {
+		first := f.openFlow(streamPort)
+		c := f.openFlowOnSameUpstream(first, streamPort)
+		first.request()
+		f.exchange(c, 0, flags)
+		if back {
+			again := &caller{f: f, id: c.id, port: orderPort, seq: 700}
+			again.sendSYN()
+		}
+		f.advance(40 * time.Millisecond)
+		first.ackAnswer()
+	}
+	reject(flagFIN, false)
+	reject(0, true)
+	require.Zero(t, f.core.LearnedCounts().Sheds)
+	reject(flagFIN, true)
+	require.EqualValues(t, 1, f.core.LearnedCounts().Sheds)
+}
--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -28,6 +28,7 @@
 		}
 		f.lastAck, f.receivedSeq = p.Ack, p.Seq
 		f.handshake = now - f.openedAt
+		u.zone.noteHandshake(f.handshake)
 		c.samples = append(c.samples, Sample{SampleHandshake, f.handshake})
 		c.onAnswer(now, f.openedAt, u)
 		f.progressAt = now
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -116,11 +116,22 @@
 	// reachedAt is when the last packet was sent that any of its upstreams is known to have
 	// answered.
 	reachedAt time.Duration
+	// transit is the usual duration of a handshake with an upstream of the zone; zero is unknown.
+	transit time.Duration
 	// firstTimedOut is the first upstream with a handshake timeout since the last answer of the
 	// zone. A timeout at a second upstream puts the zone into backoff.
 	firstTimedOut *upstream
 }
 
+// noteHandshake records the duration of a handshake with an upstream of the zone.
+func (z *zone) noteHandshake(took time.Duration) {
+	if z.transit == 0 || took < z.transit {
+		z.transit = took
+		return
+	}
+	z.transit += time.Duration(baselineWeight * float64(took-z.transit))
+}
+
 func (z *zone) add(u *upstream) {
 	u.zoneIndex = len(z.upstreams)
 	z.upstreams = append(z.upstreams, u)
