dsr, dsrhost: explain where a new flow would go

Cause: there was no way to ask a running host where a request would go and why, other than to send one. The core runs the same choice as for a packet and undoes what it changes; choose.go is untouched. The answer lists each service of the route with the outcome and the upstreams that were compared, each with its cost and why it was not chosen. learned_limit, learned_work_ms and wait.in_time stay unset until capacity and the queue are in the core. Proofs that failed first: the rotation not restored, the service not restored, the overload not asked, foreign upstreams of large services listed as compared.

--- a/cmd/mimosad-dsr/host_test.go
+++ b/cmd/mimosad-dsr/host_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -18,6 +19,8 @@
 	"github.com/stretchr/testify/require"
 
 	"mimosashore.example/mimosashore/internal/directory"
+	"mimosashore.example/mimosashore/internal/dsr"
+	"mimosashore.example/mimosashore/internal/dsrhost"
 	"mimosashore.example/mimosashore/internal/standin/dsrworld"
 	"mimosashore.example/mimosashore/internal/store"
 )
@@ -228,6 +231,57 @@
 	require.Error(t, err)
 }
 
+// Guards against explanations that differ from where the flow then goes, that count or log anything, and
+// against errors that don't say what is missing.
+func TestExplain(t *testing.T) {
+	f := newFleet(t, 1)
+	h := f.hosts[0]
+	explain := func(arguments ...string) (string, error) {
+		out, err := exec.Command(programPath, append([]string{"--explain", netip.AddrPortFrom(h.data.Addr(), h.metrics).String(), "--caller", "100.64.0.9:1024"}, arguments...)...).CombinedOutput()
+		return string(out), err
+	}
+	// Without packets, only the calls to the store are counted as time goes on.
+	counters := func() (lines []string) {
+		for line := range strings.Lines(get(t, h, "/metrics")) {
+			if strings.HasPrefix(line, "mimosashore_dsr_") && strings.Contains(line, "_total") && !strings.Contains(line, "store_calls") {
+				lines = append(lines, line)
+			}
+		}
+		return lines
+	}
+	before, logged := counters(), strings.Count(h.output(), `"msg":"core: `)
+	require.Contains(t, before, "mimosashore_dsr_received_packets_total 0\n")
+	out, err := explain("--route", orders.String())
+	require.NoError(t, err, out)
+	require.Contains(t, out, "a new flow of 100.64.0.9:1024 to "+orders.String()+", at host host-0 in zone-a")
+	require.Contains(t, out, "forwarded, placed, to servers/")
+	out, err = explain("--route", orders.String(), "--json")
+	require.NoError(t, err, out)
+	var e dsrhost.Explanation
+	require.NoError(t, json.Unmarshal([]byte(out), &e))
+	require.Equal(t, dsr.OutcomeForwarded, e.Services[0].Outcome)
+	require.NotEmpty(t, e.Services[0].Upstreams)
+	out, err = explain("--route", "198.18.0.1:1")
+	require.Error(t, err)
+	require.Contains(t, out, "404 Not Found: 198.18.0.1:1 in version 1 of the configuration: no route has this address")
+	out, err = explain("--route", "somewhere")
+	require.Error(t, err)
+	require.Contains(t, out, `--route must be an IP address and port, and is "somewhere"`)
+	out, err = explain("--route", "[::1]:1")
+	require.Error(t, err)
+	require.Contains(t, out, "parameter route must be an IPv4 address and port")
+	out, err = explain("--route", orders.String(), "--explain", netip.AddrPortFrom(h.data.Addr(), 1).String())
+	require.Error(t, err)
+	require.Contains(t, out, "does not answer")
+	require.Equal(t, before, counters())
+	require.Equal(t, logged, strings.Count(h.output(), `"msg":"core: `))
+	flow, err := f.caller().Open(orders, f.randomHost)
+	require.NoError(t, err)
+	name, err := flow.Request("one")
+	require.NoError(t, err)
+	require.Equal(t, e.Services[0].Upstream, "servers/"+name)
+}
+
 // Guards against a host that stops forwarding as soon as it gets SIGTERM, while it still
 // gets packets because it has not been removed from rotation yet.
 func TestPlannedStopForwardsUntilRemovedFromRotation(t *testing.T) {
--- a/cmd/mimosad-dsr/main.go
+++ b/cmd/mimosad-dsr/main.go
@@ -31,7 +31,11 @@
 	Settings string `arg:"--settings" placeholder:"FILE" help:"settings of the host; the platform's variable or default path otherwise"`
 	Check    bool   `arg:"--check" help:"check the settings and exit with 0, or with 2 if they are wrong"`
 	State    string `arg:"--state" placeholder:"ADDRESS" help:"print the state of the host with this metrics address and exit"`
-	Metrics  uint16 `arg:"--metrics-port" placeholder:"PORT" help:"serve /metrics and /state on this port of the host's data address"`
+	Explain  string `arg:"--explain" placeholder:"ADDRESS" help:"print where a new flow of --caller to --route would go at the host with this metrics address, and exit"`
+	Caller   string `arg:"--caller" placeholder:"IP:PORT" help:"address of the caller, for --explain"`
+	Route    string `arg:"--route" placeholder:"IP:PORT" help:"address of the route, for --explain"`
+	JSON     bool   `arg:"--json" help:"print JSON, for --explain"`
+	Metrics  uint16 `arg:"--metrics-port" placeholder:"PORT" help:"serve /metrics, /state and /explain on this port of the host's data address"`
 	LogLevel string `arg:"--log-level" default:"info" help:"debug, info, warn or error"`
 }
 
@@ -53,6 +57,13 @@
 		}
 		return
 	}
+	if args.Explain != "" {
+		if err := printExplanation(&args); err != nil {
+			fmt.Fprintln(os.Stderr, "mimosad-dsr:", err)
+			os.Exit(exitFailed)
+		}
+		return
+	}
 	// Signals are caught before the settings are read, since an uncaught SIGHUP would end the process.
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
@@ -90,6 +101,26 @@
 	return s.WriteText(os.Stdout)
 }
 
+// printExplanation prints where a new flow would go at a running host.
+func printExplanation(args *arguments) error {
+	var addresses [3]netip.AddrPort
+	for i, a := range []struct{ option, text string }{{"--explain", args.Explain}, {"--caller", args.Caller}, {"--route", args.Route}} {
+		address, err := netip.ParseAddrPort(a.text)
+		if err != nil {
+			return fmt.Errorf("%s must be an IP address and port, and is %q", a.option, a.text)
+		}
+		addresses[i] = address
+	}
+	e, err := dsrhost.FetchExplanation(context.Background(), addresses[0], addresses[1], addresses[2])
+	if err != nil {
+		return err
+	}
+	if args.JSON {
+		return e.WriteJSON(os.Stdout)
+	}
+	return e.WriteText(os.Stdout)
+}
+
 // run runs the host until a planned stop is complete, a second stop signal arrives or a
 // listener fails.
 func run(s *dsrhost.Settings, path, level string, signals <-chan os.Signal) error {
--- a/internal/dsrhost/decide.go
+++ b/internal/dsrhost/decide.go
@@ -54,6 +54,8 @@
 			h.stats.checks[d.core.CheckDone(h.elapsed(), r)].Inc()
 		case answer := <-h.stateRequests:
 			answer <- d.core.State(h.elapsed())
+		case r := <-h.explainRequests:
+			d.explain(r)
 		case <-ticker.C:
 			d.updateGauges()
 			d.updatePosition()
--- a/internal/dsrhost/host.go
+++ b/internal/dsrhost/host.go
@@ -57,10 +57,12 @@
 	events  chan feedEvent
 	// stateRequests carries requests for the state to the core's goroutine.
 	stateRequests chan chan *dsr.State
-	replica       *replica.Replica
-	translator    *translator
-	feed          *feed
-	checker       *checker
+	// explainRequests carries requests for explanations to it.
+	explainRequests chan explainRequest
+	replica         *replica.Replica
+	translator      *translator
+	feed            *feed
+	checker         *checker
 	// peer is nil if the host has no control address.
 	peer *dsrpeer.Peer
 }
@@ -76,13 +78,14 @@
 // New returns a host whose listeners are open.
 func New(ctx context.Context, d Dependencies) (*Host, error) {
 	h := &Host{
-		deps:          d,
-		settings:      d.Settings,
-		log:           logging.ForComponent(d.Logger, "host"),
-		started:       time.Now(),
-		packets:       ring.New[packet](packetRingSize),
-		events:        make(chan feedEvent, feedQueueSize),
-		stateRequests: make(chan chan *dsr.State),
+		deps:            d,
+		settings:        d.Settings,
+		log:             logging.ForComponent(d.Logger, "host"),
+		started:         time.Now(),
+		packets:         ring.New[packet](packetRingSize),
+		events:          make(chan feedEvent, feedQueueSize),
+		stateRequests:   make(chan chan *dsr.State),
+		explainRequests: make(chan explainRequest),
 	}
 	h.stats = newStats(d.LogOutput)
 	h.checker = newChecker(h.elapsed)
--- a/internal/dsrhost/metrics.go
+++ b/internal/dsrhost/metrics.go
@@ -15,10 +15,11 @@
 const (
 	metricsPath = "GET /metrics"
 	statePath   = "GET /state"
+	explainPath = "GET /explain"
 )
 
-// metricsServer serves metrics in the Prometheus text format and the state of the
-// host as JSON.
+// metricsServer serves metrics in the Prometheus text format, and as JSON the state of the
+// host and explanations where a new flow would go.
 type metricsServer struct {
 	listener net.Listener
 	server   *http.Server
@@ -44,6 +45,7 @@
 		// A write fails only if the client has disconnected; there is nothing to do then.
 		_ = json.NewEncoder(w).Encode(state)
 	})
+	mux.HandleFunc(explainPath, h.serveExplain)
 	return &metricsServer{listener: l, server: &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}}, nil
 }
 
