--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -41,7 +41,8 @@
 	// ArrivedAt is when the request arrived; zero is the time of the call that it is passed to.
 	ArrivedAt time.Duration
 	// ObjectiveAt is when the latency objective passes, DeadlineAt when the caller gives up: the attempt
-	// to open a flow if Rejectable is set, otherwise the request.
+	// to open a flow if Rejectable is set, otherwise the request. Without a latency objective, both are
+	// the deadline.
 	ObjectiveAt, DeadlineAt time.Duration
 }
 
