--- a/internal/dsr/choose.go
+++ b/internal/dsr/choose.go
@@ -66,11 +66,7 @@
 	ch.repeatLoad = s.repeatLoad(now)
 	c.rotation++
 	start := int(((c.rotation * goldenRatioStep) >> 32) % uint64(len(s.upstreams)))
-	class := ch.class
-	if s.schedules() {
-		class = loadcontrol.Class{}
-	}
-	spills := s.spill.Admits(now, s.spilled, class)
+	spills := s.spill.Admits(now, s.spilled, s.spillClass(ch.class))
 	if len(s.upstreams) > fullSearchSize {
 		for _, u := range s.own {
 			c.consider(now, &ch, r, u, spills)
--- a/internal/dsr/room.go
+++ b/internal/dsr/room.go
@@ -49,6 +49,15 @@
 	return u.pacer.Admits(now, float64(u.busy+u.opening+u.lender.Lent(now)), c.limitAt(now, s, u, slots), loadcontrol.Class{}, u.learnedWork(now))
 }
 
+// spillClass returns the class by which a request has a part of the spill window. Where requests wait, their order
+// decides instead.
+func (s *service) spillClass(class loadcontrol.Class) loadcontrol.Class {
+	if s.schedules() {
+		return loadcontrol.Class{}
+	}
+	return class
+}
+
 // isWorthwhile reports whether an upstream that is slower than its peers is expected to answer a new flow no
 // later than they would after the wait for one of them.
 func (c *Core) isWorthwhile(now time.Duration, s *service, u *upstream, class loadcontrol.Class) bool {
--- a/internal/dsr/waiting.go
+++ b/internal/dsr/waiting.go
@@ -264,17 +264,25 @@
 	c.recycle(w)
 }
 
-// waitOrReject decides on a SYN for which no upstream has room. It is rejected at once if it would not be
-// served, and waits otherwise.
-func (c *Core) waitOrReject(now time.Duration, p *Packet, r *route, ch choice) Effect {
+// outlook returns the outlook of a SYN for which no upstream has room, and whether it is rejected because it
+// would not be served.
+func (c *Core) outlook(now time.Duration, p *Packet, r *route, ch choice) (a schedule.Assessment, rejected bool) {
 	s := ch.state
 	q := c.waitingRequestOf(now, p, r, true)
 	supply := schedule.Supply{Work: s.work.Mean(), Lasting: c.overloaded(now, s, ch.class)}
 	if supply.Work > 0 {
 		supply.Rate = c.answeringSlots(now, s) / supply.Work.Seconds()
 	}
-	a := s.queue.Assess(now, q, nil, supply)
-	if q.Rejectable && supply.Rate > 0 && !a.Served {
+	a = s.queue.Assess(now, q, nil, supply)
+	return a, q.Rejectable && supply.Rate > 0 && !a.Served
+}
+
+// waitOrReject decides on a SYN for which no upstream has room. It is rejected at once if it would not be
+// served, and waits otherwise.
+func (c *Core) waitOrReject(now time.Duration, p *Packet, r *route, ch choice) Effect {
+	s := ch.state
+	a, rejected := c.outlook(now, p, r, ch)
+	if rejected {
 		s.refused(now, ch.class)
 		c.emitOpening("flow refused", now, p, r, ch, ReasonOverloaded)
 		return Effect{Action: Reset, Reason: ReasonOverloaded}
--- a/internal/dsrhost/host.go
+++ b/internal/dsrhost/host.go
@@ -57,6 +57,8 @@
 	events  chan feedEvent
 	// stateRequests carries requests for the state to the core's goroutine.
 	stateRequests chan chan *dsr.State
+	// explainRequests carries requests for explanations to it.
+	explainRequests chan explainRequest
 	// stopWaits requests that all waits end; the channel that it carries is closed when they have.
 	stopWaits  chan chan struct{}
 	replica    *replica.Replica
@@ -80,14 +82,15 @@
 // New returns a host whose listeners are open.
 func New(ctx context.Context, d Dependencies) (*Host, error) {
 	h := &Host{
-		deps:          d,
-		settings:      d.Settings,
-		log:           logging.ForComponent(d.Logger, "host"),
-		started:       time.Now(),
-		packets:       ring.New[packet](packetRingSize),
-		events:        make(chan feedEvent, feedQueueSize),
-		stateRequests: make(chan chan *dsr.State),
-		stopWaits:     make(chan chan struct{}),
+		deps:            d,
+		settings:        d.Settings,
+		log:             logging.ForComponent(d.Logger, "host"),
+		started:         time.Now(),
+		packets:         ring.New[packet](packetRingSize),
+		events:          make(chan feedEvent, feedQueueSize),
+		stateRequests:   make(chan chan *dsr.State),
+		explainRequests: make(chan explainRequest),
+		stopWaits:       make(chan chan struct{}),
 	}
 	h.stats = newStats(d.LogOutput)
 	h.checker = newChecker(h.elapsed)
