--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -224,10 +224,7 @@
 		c.cache.setPhase(now, f, phaseOverdue)
 		c.onHandshakeTimeout(now, f)
 	}
-	// A flow behind one of a service with a longer timeout expires with that one.
-	for f := c.cache.busy.First(); f != nil && now-f.busyAt > f.upstream.service.busyTimeout(); f = c.cache.busy.First() {
-		c.cache.setPhase(now, f, phaseIdle)
-	}
+	c.expireBusy(now)
 	c.cache.expire(now)
 	c.waiters.expire(now)
 	c.unrouted.expire(now)
@@ -353,7 +350,7 @@
 		Age: now - c.storeAnsweredAt, Considered: ch.considered, Suspect: ch.suspect,
 	}
 	if s := ch.state; s != nil && ch.upstream == nil {
-		rec.Waiting, rec.Demand, rec.Slots, rec.Work = s.waiting, s.demand.Rate(now), s.ownSlots, s.work.Mean()
+		rec.Waiting, rec.Demand, rec.Slots, rec.Work = s.waiting+s.queue.Len(), s.demand.Rate(now), c.answeringSlots(now, s), s.work.Mean()
 	}
 	if u := ch.upstream; u != nil {
 		rec.Upstream, rec.Token, rec.Era, rec.Revision, rec.To = u.Key, u.token, uint64(u.Era), uint64(u.Revision), u.Addr
--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -13,10 +13,42 @@
 	busyTimeoutMin    = 500 * time.Millisecond
 	busyTimeoutMax    = 4 * time.Second
 	busyTimeoutFactor = 4
+	// Where requests wait for slots, it is scheduledBusyFactor times the work of the upstream, at least
+	// scheduledBusyMin: one in a thousand takes longer if the work varies by half of its mean.
+	scheduledBusyMin    = 150 * time.Millisecond
+	scheduledBusyFactor = 6
+	// busySearchSize is the number of requests in progress that are looked at for the timeout.
+	busySearchSize = 32
 	// minWork is the least time that a request takes a slot, after the transit is subtracted.
 	minWork = time.Millisecond
 )
 
+// expireBusy stops counting requests as work in progress whose answers were not acknowledged. Those behind many with
+// a longer timeout expire with these.
+func (c *Core) expireBusy(now time.Duration) {
+	next := c.cache.busy.First()
+	for range busySearchSize {
+		f := next
+		if f == nil {
+			return
+		}
+		next = f.phaseLinks.Next()
+		if now-f.busyAt > f.upstream.busyTimeout(now) {
+			c.cache.setPhase(now, f, phaseIdle)
+		}
+	}
+}
+
+// busyTimeout returns when an unanswered request at the upstream stops counting as work in progress. Where
+// requests wait for it, an answer that is not acknowledged keeps them waiting.
+func (u *upstream) busyTimeout(now time.Duration) time.Duration {
+	work := u.learnedWork(now)
+	if !u.service.schedules() || work == 0 {
+		return u.service.busyTimeout()
+	}
+	return min(max(scheduledBusyMin, scheduledBusyFactor*work), busyTimeoutMax)
+}
+
 // observe updates the state of the flow and its upstream from a packet other than a SYN.
 func (c *Core) observe(now time.Duration, f *flow, p *Packet) {
 	u := f.upstream
--- a/internal/dsr/room.go
+++ b/internal/dsr/room.go
@@ -39,6 +39,10 @@
 // hasRoomOnFlow is like hasRoom for a request on an open flow. Such a request can't go elsewhere, so an upstream
 // that is slow takes it as soon as it works on fewer than it can.
 func (c *Core) hasRoomOnFlow(now time.Duration, s *service, u *upstream) bool {
+	if u.share == 0 && u.busy+u.opening == 0 {
+		// After a change of the rotation, most flows are at upstreams of other hosts.
+		return true
+	}
 	return c.hasRoomFor(now, s, u, u.learnedKnee(now))
 }
 
--- a/internal/dsr/servewaiting.go
+++ b/internal/dsr/servewaiting.go
@@ -54,11 +54,8 @@
 
 func (c *Core) serveService(now time.Duration, s *service) {
 	for e := s.queue.Expired(now); e != nil; e = s.queue.Expired(now) {
-		cause := "the caller gives up"
-		if e.Rejectable {
-			cause = "no slot before the end of the attempt"
-		}
-		c.endWait(now, e.Value, cause)
+		// The caller ends its attempt by itself, unless the service is overloaded and it can be told so.
+		c.endWait(now, e.Value, e.Rejectable && c.overloaded(now, s, loadcontrol.Class{}), "the caller gives up")
 	}
 	if s.sharesStale {
 		c.computeShares(s)
@@ -111,12 +108,12 @@
 }
 
 // rejectLate rejects SYNs that can't be in time any more while the service is overloaded: requests that
-// can be in time take all slots. The same holds where only upstreams of other hosts are left, since nobody
-// knows when they have room.
+// can be in time take all slots. Where only upstreams of other hosts are left, urgent requests don't go first,
+// since nobody knows when these have room.
 func (c *Core) rejectLate(now time.Duration, s *service) {
 	borrows := !c.hasOwn(now, s)
 	for _, urgent := range []bool{false, true} {
-		if !borrows && !c.overloaded(now, s, loadcontrol.Class{Urgent: urgent}) {
+		if !c.overloaded(now, s, loadcontrol.Class{Urgent: urgent && !borrows}) {
 			continue
 		}
 		next := c.waiting.rejectable[classIndex(urgent)].First()
@@ -128,7 +125,7 @@
 			if !s.queue.Late(now, &w.entry) {
 				break
 			}
-			c.endWait(now, w, "overloaded")
+			c.endWait(now, w, true, "overloaded")
 		}
 	}
 }
--- a/internal/dsr/waiting.go
+++ b/internal/dsr/waiting.go
@@ -196,7 +196,7 @@
 		if lowest == nil {
 			return
 		}
-		c.endWait(now, lowest, "too much waits")
+		c.endWait(now, lowest, lowest.entry.Rejectable, "too much waits")
 	}
 }
 
@@ -241,21 +241,21 @@
 	c.waiting.releases = append(c.waiting.releases, Release{Hold: p.id, Header: p.header, Effect: e})
 }
 
-// endWait ends the wait of a request that is not served: a SYN of which no copy was forwarded is
-// rejected, any other packet dropped. The caller sends that again if it still waits for an answer.
-func (c *Core) endWait(now time.Duration, w *waitingRequest, cause string) {
-	e := Effect{Action: Drop, Reason: ReasonWaitEnded}
-	if w.entry.Rejectable {
-		e = Effect{Action: Reset, Reason: ReasonOverloaded}
-	}
+// endWait ends the wait of a request that is not served. If it is rejected, its caller learns at once that it did
+// not run. Otherwise its packets are dropped; the caller sends them again if it still waits for an answer.
+func (c *Core) endWait(now time.Duration, w *waitingRequest, rejected bool, cause string) {
 	s := w.service
-	if w.entry.Rejectable {
-		s.rejected(now, w.class)
+	e, event := Effect{Action: Drop, Reason: ReasonWaitEnded}, "request not served"
+	if rejected {
+		e, event = Effect{Action: Reset, Reason: ReasonOverloaded}, "flow refused"
 	}
 	c.emit(Record{
-		Event: "request not served", Action: e.Action, Caller: w.key.caller, Address: w.key.service, Service: s.name, Detail: cause, Version: c.version,
-		Rank: w.rank, Waiting: s.queue.Len(), Waited: now - w.since, Demand: s.demand.Rate(now), Slots: s.ownSlots, Work: s.work.Mean(),
+		Event: event, Action: e.Action, Caller: w.key.caller, Address: w.key.service, Service: s.name, Detail: cause, Version: c.version,
+		Rank: w.rank, Waiting: s.queue.Len(), Waited: now - w.since, Demand: s.demand.Rate(now), Slots: c.answeringSlots(now, s), Work: s.work.Mean(),
 	})
+	if rejected {
+		s.rejected(now, w.class)
+	}
 	c.samples = append(c.samples, Sample{SampleWait, now - w.since})
 	c.forget(w)
 	for i := range w.packets {
@@ -317,8 +317,8 @@
 	return r
 }
 
-// StopWaiting ends all waits before the host stops: requests on open flows are sent on, and SYNs that no
-// upstream has room for are rejected.
+// StopWaiting ends all waits before the host stops: requests on open flows are sent on. SYNs that no upstream has
+// room for are rejected if the service is overloaded, and dropped otherwise: their copies reach other hosts.
 func (c *Core) StopWaiting(now time.Duration) {
 	c.serveWaiting(now)
 	for _, w := range c.waiting.byKey {
@@ -326,6 +326,6 @@
 			c.serve(now, w)
 			continue
 		}
-		c.endWait(now, w, "the host stops")
+		c.endWait(now, w, w.entry.Rejectable && c.overloaded(now, w.service, loadcontrol.Class{}), "the host stops")
 	}
 }
