dsr, capacity: an upstream that is not judged slow costs what its samples say, and knees need more evidence

Cause: with the judgement alone in the cost, hosts no longer avoided upstreams that others keep busy, and at three times the work a queue passed for a knee. Change: the slowness below a judgement counts in the cost, relative to the median, and fades within seconds. Placement takes the mean work of the service as before. A knee below the slots is less probable at first.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -29,6 +29,8 @@
 	minSamples = 3
 	// staleTime is the time without samples after which an estimate says nothing any more.
 	staleTime = 30 * time.Second
+	// slownessHalfLife is the time in which an upstream that is not judged slow loses half of what it seems slower.
+	slownessHalfLife = 2 * time.Second
 	// sameCallerWeight is the weight of a slow answer to the caller of the last slow one: a link that
 	// loses packets delays answers to one caller.
 	sameCallerWeight = 0.5
@@ -209,12 +211,17 @@
 	return e != nil && e.slow && now-e.updatedAt <= staleTime
 }
 
-// Slowness returns how many times slower than its peers the upstream is; 1 unless it is judged slow.
+// Slowness returns how many times slower than its peers the upstream is, at least 1. Below a judgement it is in
+// relation to the median, and loses half of its excess in each slownessHalfLife: a queue that other hosts fill makes
+// an upstream slower for a while.
 func (e *Estimate) Slowness(now time.Duration, g *Group) float64 {
-	if !e.Slow(now) || g.reference <= 0 {
+	switch {
+	case e.Slow(now) && g.reference > 0:
+		return max(1, float64(e.work)/float64(g.reference))
+	case e == nil || e.samples < minSamples || g.work <= 0 || e.work <= g.work:
 		return 1
 	}
-	return max(1, float64(e.work)/float64(g.reference))
+	return 1 + (float64(e.work)/float64(g.work)-1)*math.Exp2(-float64(now-e.updatedAt)/float64(slownessHalfLife))
 }
 
 // UpdatedAt returns when the last evidence came; zero is never.
--- a/internal/capacity/filter.go
+++ b/internal/capacity/filter.go
@@ -22,7 +22,7 @@
 	// minChange is the least probability of a change between two samples.
 	minChange = 0.002
 	// kneeProbability is that of a knee below the slots.
-	kneeProbability = 0.05
+	kneeProbability = 0.02
 	// nearReference is the part of the changes that lead back to the work of the peers.
 	nearReference = 0.5
 	// spread is the standard deviation of the logarithm of the time that an answer takes. That of work with a
--- a/internal/dsr/choose.go
+++ b/internal/dsr/choose.go
@@ -126,7 +126,7 @@
 	if !ch.class.Urgent {
 		open += ch.repeatLoad * float64(u.flows-u.busy)
 	}
-	work := u.learnedWork(now)
+	work := u.placementWork(now)
 	return u.pacer.Admits(now, open, loadcontrol.Limit(slots, work, objective), ch.class, work)
 }
 
--- a/internal/dsr/learned.go
+++ b/internal/dsr/learned.go
@@ -121,6 +121,15 @@
 	return time.Duration(float64(work) * u.slowStart(now))
 }
 
+// placementWork returns the work from which the limit for new flows follows. The mean of the service includes some
+// queueing under load, which keeps queues at upstreams short as long as hosts hold no requests.
+func (u *upstream) placementWork(now time.Duration) time.Duration {
+	if u.learned.Slow(now) {
+		return u.learnedWork(now)
+	}
+	return time.Duration(float64(u.service.work.Mean()) * u.slowStart(now))
+}
+
 // slowStart returns the assumed slowdown of an upstream during slow start.
 func (u *upstream) slowStart(now time.Duration) float64 {
 	if now < u.slowStartUntil {
@@ -134,13 +143,12 @@
 func (u *upstream) learnedCost(now time.Duration, load float64, class loadcontrol.Class) float64 {
 	cost := (load + 1) / max(u.learnedLimit(now), minLimit)
 	switch {
-	case !u.learned.Slow(now):
-		return cost * u.slowStart(now)
 	case u.wantsProbe(now, class):
 		return (load + 1) / float64(u.Slots)
-	default:
-		return max(cost, 1) * max(u.slowStart(now), u.learned.Slowness(now, &u.service.peers))
+	case u.learned.Slow(now):
+		cost = max(cost, 1)
 	}
+	return cost * max(u.slowStart(now), u.learned.Slowness(now, &u.service.peers))
 }
 
 // probeInterval returns the time between two probes of a slow upstream.
