capacity: a knee and a slow speed are judged together

Cause: two requests at a time that take twice as long are explained by half the speed as well as by half the slots, so that neither was likely enough alone. Change: if both together are, the likelier one is taken.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -173,20 +173,33 @@
 	}
 }
 
-// judge decides from the filter whether the upstream is slow and where its knee is.
+// judge decides from the filter whether the upstream is slow and where its knee is. Where both explain the answers, the
+// likelier one is taken.
 func (e *Estimate) judge(g *Group, slots int) {
+	reference := max(g.reference, g.recentWork)
+	above, aboveAtSlots := 0.0, 0.0
 	if g.reference > 0 {
-		reference := max(g.reference, g.recentWork)
-		above := e.filter.weightAbove(logWork(time.Duration(slowFactor * float64(reference))))
-		switch {
-		case !e.slow:
-			// If no peer answers fast any more what was sent since, the requests are heavier.
-			e.slow = above >= slowWeight && float64(e.work) >= minSlowness*float64(reference) && g.fastSince(e.slowSince)
-		case above < usualWeight:
-			e.slow = false
+		above, aboveAtSlots = e.filter.weightAbove(logWork(time.Duration(slowFactor * float64(reference))))
+	}
+	below := e.filter.weightBelow()
+	either := below + aboveAtSlots
+	switch {
+	case !e.slow:
+		// If no peer answers fast any more what was sent since, the requests are heavier.
+		e.slow = max(above, either) >= slowWeight && above > below && float64(e.work) >= minSlowness*float64(reference) && g.fastSince(e.slowSince)
+	case above < usualWeight:
+		e.slow = false
+	}
+	if e.limit == 0 || e.limit >= slots {
+		e.limit = slots
+		if below >= kneeWeight || either >= kneeWeight && below >= aboveAtSlots && g.fastSince(e.slowSince) {
+			e.limit = e.filter.knee()
 		}
+	} else if below < usualWeight {
+		e.limit = slots
+	} else {
+		e.limit = e.filter.knee()
 	}
-	e.limit = e.filter.knee(e.limit)
 }
 
 // Limit returns the number of requests that the upstream takes well at a time, at most its slots.
--- a/internal/capacity/filter.go
+++ b/internal/capacity/filter.go
@@ -252,35 +252,42 @@
 	return time.Duration(float64(minWork) * math.Exp(mean*levelStep) * meanOfMedian)
 }
 
-// weightAbove returns the probability of a mean work above the given one.
-func (f *filter) weightAbove(logarithm float64) float64 {
+// weightAbove returns the probability of a mean work above the given one, and that part of it without a knee below the
+// slots.
+func (f *filter) weightAbove(logarithm float64) (all, atSlots float64) {
 	from := (logarithm - math.Log(meanOfMedian)) / levelStep
-	sum := 0.0
 	for k := range f.kneeCount() {
 		for w, p := range f.weights[k] {
 			// A level stands for the work times up to half a step around it.
-			sum += float64(p) * min(max(float64(w)+0.5-from, 0), 1)
+			all += float64(p) * min(max(float64(w)+0.5-from, 0), 1)
+		}
+		if k == 0 {
+			atSlots = all
 		}
 	}
-	return sum
+	return all, atSlots
 }
 
-// knee returns the most likely knee if one below the slots is likely enough. The last one is kept until the
-// slots are as likely.
-func (f *filter) knee(last int) int {
-	var p [kneeLevels]float32
-	best := 0
-	for k := range f.kneeCount() {
-		for _, weight := range f.weights[k] {
-			p[k] += weight
+// weightBelow returns the probability of a knee below the slots.
+func (f *filter) weightBelow() float64 {
+	sum := 0.0
+	for _, p := range f.weights[0] {
+		sum += float64(p)
+	}
+	return 1 - sum
+}
+
+// knee returns the most likely knee below the slots, or the slots if there is none.
+func (f *filter) knee() int {
+	best, most := f.slots, float32(0)
+	for k := 1; k < f.kneeCount(); k++ {
+		sum := float32(0)
+		for _, p := range f.weights[k] {
+			sum += p
 		}
-		if k == 1 || k > 1 && p[k] > p[best] {
-			best = k
+		if sum > most {
+			best, most = f.knees[k], sum
 		}
 	}
-	below := 1 - p[0]
-	if below >= kneeWeight || last != 0 && last < f.slots && below >= usualWeight {
-		return f.knees[best]
-	}
-	return f.slots
+	return best
 }
