--- a/internal/dsr/choose.go
+++ b/internal/dsr/choose.go
@@ -136,7 +136,7 @@
 	if !ch.class.Urgent {
 		open += ch.repeatLoad * float64(u.flows-u.busy)
 	}
-	work := u.learnedWork(now)
+	work := u.placementWork(now)
 	return u.pacer.Admits(now, open, loadcontrol.Limit(slots, work, objective), ch.class, work)
 }
 
