dsr: evacuation of availability zones by an entry of the store

Operators write op/evacuate/ZONE to the platform's store to take a zone out of use. Hosts did not read these entries, so new flows went on to the zone until its upstreams drained.

With bounds.evacuateMs in the settings, hosts list and watch the prefix like registrations and pass the entries to hosts that follow them. An upstream in an evacuated zone is not usable for a new flow, and a copy of a SYN that was sent there before is dropped until the usual rules move it. If all zones of a service are evacuated, its new flows are reset with the reason "evacuated". An entry that a restored store lost stays in force until it is written again and removed; the replica remembers removals, so that a host that missed one can't bring the entry back. Entries that can't be read are logged once and change nothing. Watches are spaced, and store reads delegated, by the smaller of configApplyMs and evacuateMs. Without the bound, no call of the store and no decision differs.

The state lists evacuated zones, two gauges count zones and services without another zone.

--- a/cmd/mimosad-dsr/fleet_test.go
+++ b/cmd/mimosad-dsr/fleet_test.go
@@ -47,6 +47,8 @@
 	hosts       []*hostProcess
 	upstreams   map[string]*dsrworld.Upstream
 	lastAddress byte
+	// adjust changes the settings of hosts.
+	adjust []func(*dsrworld.HostSettings)
 }
 
 // hostProcess is a host that runs in a process of its own.
@@ -120,8 +122,8 @@
 
 // newFleet starts a store, three upstreams of each of two services, and hosts, and
 // waits until all hosts are ready.
-func newFleet(t *testing.T, hosts int) *fleet {
-	f := &fleet{t: t, store: dsrworld.NewStore(), upstreams: make(map[string]*dsrworld.Upstream), port: freePort(t, 110)}
+func newFleet(t *testing.T, hosts int, adjust ...func(*dsrworld.HostSettings)) *fleet {
+	f := &fleet{t: t, adjust: adjust, store: dsrworld.NewStore(), upstreams: make(map[string]*dsrworld.Upstream), port: freePort(t, 110)}
 	t.Cleanup(f.store.Close)
 	f.configure(1, "orders-service")
 	for n := range 3 {
@@ -168,6 +170,9 @@
 		Name: fmt.Sprintf("host-%d", n), Zone: "zone-a", Zones: []string{"zone-a"}, Data: h.data, Ready: netip.MustParseAddrPort(h.ready),
 		Control: loopback(110, byte(n+1), control), Contacts: contacts, Store: f.store.Addr(), StopTimeout: 6 * time.Second, ApplyTimeout: 3 * time.Second,
 	}
+	for _, adjust := range f.adjust {
+		adjust(&settings)
+	}
 	b, err := settings.Encode()
 	require.NoError(f.t, err)
 	h.settings = filepath.Join(f.t.TempDir(), "settings.json")
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -102,6 +102,8 @@
 	Upstreams []Upstream
 	// Removed holds the keys that no longer have a usable registration.
 	Removed []Removal
+	// Evacuations holds the evacuations that were written or removed.
+	Evacuations []Evacuation
 	// Configuration is nil if the configuration did not change.
 	Configuration *Configuration
 }
--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -49,6 +49,7 @@
 	if ch.Configuration != nil {
 		c.applyConfiguration(now, ch.Configuration)
 	}
+	c.applyEvacuations(now, ch)
 	if ch.Full {
 		if !c.complete {
 			c.complete, c.tokensKnownAt = true, now+tokensUnknownTime
@@ -145,7 +146,7 @@
 			u.service.sharesStale = true
 		}
 		wasLost := u.lost && d.Era == u.Era
-		u.Upstream = *d
+		u.Upstream, u.evacuated = *d, c.isEvacuated(d.Zone)
 		u.unreadable, u.unknownService = false, nil
 		if !wasLost {
 			u.removeAt, u.lost = 0, false
@@ -166,7 +167,7 @@
 	if known := c.tokens[TokenOf(d.ID, d.Incarnation)]; known != nil && known.gone && known.Key == d.Key && known.Draining && known.Era < d.Era {
 		d.Draining = true
 	}
-	n := &upstream{Upstream: *d, token: TokenOf(d.ID, d.Incarnation), zone: c.zoneOf(d.Zone), service: c.serviceOf(d.Service), rank: xxhash.Sum64String(d.Key)}
+	n := &upstream{Upstream: *d, token: TokenOf(d.ID, d.Incarnation), zone: c.zoneOf(d.Zone), service: c.serviceOf(d.Service), rank: xxhash.Sum64String(d.Key), evacuated: c.isEvacuated(d.Zone)}
 	if d.SlowStart > 0 {
 		n.slowStartUntil = now + d.SlowStart
 	}
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -96,6 +96,11 @@
 	lastCheck    uint64
 	wantedChecks []Check
 
+	// evacuations holds the evacuated zones by name, evacuatedServices is the number of services that
+	// have upstreams in such zones only.
+	evacuations       map[string]evacuation
+	evacuatedServices int
+
 	records []Record
 	samples []Sample
 	// resets holds flows to reset other than that of the current packet.
@@ -121,6 +126,7 @@
 		unrouted:      newUnrouted(),
 		unknownTokens: make(map[Token]time.Duration),
 		checks:        make(map[uint64]*check),
+		evacuations:   make(map[string]evacuation),
 	}
 }
 
@@ -235,6 +241,9 @@
 		}
 		f.synRetransmits++
 		if c.keepsUpstream(now, f) {
+			if f.upstream.evacuated {
+				return Effect{Action: Drop, Reason: ReasonEvacuated}
+			}
 			return c.forwardTo(f.upstream, ReasonSYNRetransmit)
 		}
 		reason, moved = ReasonMoved, f.moveEvidence(now)
@@ -274,6 +283,9 @@
 // caller waits for its next retransmission, or is refused if it would not be served then either. Only the
 // first SYN of a flow that is not known is refused: otherwise the flow may be open.
 func (c *Core) handleNotPlaced(now time.Duration, p *Packet, r *route, f *flow, ch choice) Effect {
+	if e, ok := c.rejectEvacuated(now, p, r, f, ch); ok {
+		return e
+	}
 	if ch.reason == ReasonPaced && p.SYNRetransmits == 0 && f == nil {
 		if ch.state.overloaded(now, ch.class) {
 			ch.state.refused(now, ch.class)
--- a/internal/dsr/dsr.go
+++ b/internal/dsr/dsr.go
@@ -129,13 +129,16 @@
 	// ReasonUpstreamSilent means that the upstream does not answer; the caller can repeat its
 	// idempotent request elsewhere.
 	ReasonUpstreamSilent
+	// ReasonEvacuated means that the upstream of a repeated SYN, or all upstreams of the service, are in
+	// evacuated zones.
+	ReasonEvacuated
 	reasonCount
 )
 
 // reasonNames holds the names in logs and metrics. ReasonSYNRetransmit is "copy" there.
 var reasonNames = [reasonCount]string{
 	"routed", "unregistered", "placed", "copy", "moved", "malformed", "no configuration", "no route", "stale configuration", "no upstream",
-	"paced", "overloaded", "no token", "unknown token", "upstream gone", "upstream silent",
+	"paced", "overloaded", "no token", "unknown token", "upstream gone", "upstream silent", "evacuated",
 }
 
 // String returns the reason as it appears in logs and metrics.
--- a/internal/dsr/service.go
+++ b/internal/dsr/service.go
@@ -17,6 +17,8 @@
 	own         []*upstream
 	ownSlots    float64
 	sharesStale bool
+	// evacuated is set while all zones that have upstreams of the service are evacuated.
+	evacuated bool
 	// latency is the mean time from request to answer, in seconds; zero is unknown.
 	latency float64
 	// work is the time from request to answer at upstreams with a free slot, without the transit.
--- a/internal/dsr/state.go
+++ b/internal/dsr/state.go
@@ -18,6 +18,8 @@
 	StoreAnswerAgeMs      int64    `json:"store_heard_ms"`
 	OwnLinkSuspected      bool     `json:"own_link_suspected"`
 	SuspectZones          []string `json:"zones_in_doubt"`
+	// EvacuatedZones holds the zones that operators have taken out of use for new flows.
+	EvacuatedZones []EvacuationState `json:"evacuated_zones"`
 	// ZoneIndex is the place of this host among the ZoneHosts hosts of its zone; both are zero while
 	// it knows no others.
 	ZoneIndex int             `json:"zone_index"`
@@ -77,6 +79,7 @@
 		}
 	}
 	slices.Sort(s.SuspectZones)
+	s.EvacuatedZones = c.evacuationStates(now)
 	s.ZoneIndex, s.ZoneHosts = c.position.Index, c.position.Count
 	for name, v := range c.services {
 		if v.sharesStale {
@@ -126,6 +129,8 @@
 		return "shared token"
 	case u.Draining:
 		return "draining"
+	case u.evacuated:
+		return "evacuated"
 	default:
 		return "ready"
 	}
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -41,6 +41,8 @@
 	unreadable bool
 	// unknownService is the registration that names an unknown service; nil if there is none.
 	unknownService *directory.Upstream
+	// evacuated is set while the zone of the upstream is evacuated.
+	evacuated bool
 	// removeAt is when an upstream with a lapsed registration becomes gone; zero is never.
 	removeAt time.Duration
 	// lost is set while the registration is missing only because the store was restored.
@@ -139,7 +141,7 @@
 
 // usable reports whether new flows may be assigned to the upstream.
 func (u *upstream) usable() bool {
-	return !u.gone && !u.Draining && !u.tokenShared && !u.unreadable
+	return !u.gone && !u.Draining && !u.tokenShared && !u.unreadable && !u.evacuated
 }
 
 // hasFreeSlot reports whether another request is expected to run at once, as far as this host knows.
--- a/internal/dsrhost/decide.go
+++ b/internal/dsrhost/decide.go
@@ -156,6 +156,7 @@
 	s.flows.Store(int64(d.core.Flows()))
 	s.version.Store(int64(d.core.Version()))
 	s.configurationAge.Store(int64(d.core.ConfigurationAge(d.host.elapsed())))
+	s.evacuations.update(d.core)
 }
 
 // recordLog writes records of the core to the log.
--- a/internal/dsrhost/feed.go
+++ b/internal/dsrhost/feed.go
@@ -26,13 +26,13 @@
 	// retryMin and retryMax bound the pause after a failed call.
 	retryMin = 100 * time.Millisecond
 	retryMax = 800 * time.Millisecond
-	// watchIntervalDivisor divides Settings.ApplyWithin to give the shortest interval between two watches.
+	// watchIntervalDivisor divides the strictest bound of the settings to give the shortest interval between two watches.
 	// The interval batches writes that come in quick succession.
 	watchIntervalDivisor = 8
 	// peerFallbackDelay is the time without an answer of the store after which the host
 	// turns to other hosts. It allows two retries, so that a single lost answer causes no load on them.
 	peerFallbackDelay = 500 * time.Millisecond
-	// minDelegateApplyTime is the smallest Settings.ApplyWithin with which hosts read the store for
+	// minDelegateApplyTime is the smallest bound of the settings with which hosts read the store for
 	// each other: 2.9 s until a store reader detects that its watch failed, 0.4 s until its next
 	// heartbeat to the followers, and 1 s for a call of their own.
 	minDelegateApplyTime = 4500 * time.Millisecond
@@ -269,80 +269,6 @@
 // counts as an outage here too: registrations that lapsed meanwhile prove nothing.
 func (f *feed) reportReaderLostStore(ctx context.Context) { f.reportFailure(ctx, errReaderLostStore) }
 
-// list makes a full read. Its position is that of the first page, so that the next
-// watch repeats the writes made during the listing. It fails with FaultRestored if the
-// store was restored meanwhile.
-func (f *feed) list(ctx context.Context) error {
-	u := replica.Update{Full: true}
-	started := f.elapsed()
-	for after, more := "", true; more; {
-		page, err := f.store.List(ctx, f.translator.layout.UpstreamPrefix, after, 0)
-		f.stats.countStoreCall(opList, err)
-		if err != nil {
-			return err
-		}
-		if u.AtRevision == 0 {
-			u.Era, u.AtRevision = page.Era, page.At
-		}
-		if page.Era != u.Era {
-			return &store.Error{Op: opList, Fault: store.FaultRestored}
-		}
-		for _, e := range page.Entries {
-			f.translator.dropOversized(&e)
-			u.Events = append(u.Events, store.Event{Entry: e})
-			after = e.Key
-		}
-		more = page.More && len(page.Entries) > 0
-	}
-	entry, err := f.store.Get(ctx, f.translator.layout.ConfigurationKey)
-	f.stats.countStoreCall(opGet, err)
-	if err != nil {
-		return err
-	}
-	if entry.Era != u.Era {
-		return &store.Error{Op: opGet, Key: entry.Key, Fault: store.FaultRestored}
-	}
-	if entry.Modified != 0 {
-		u.Events = append(u.Events, store.Event{Entry: entry})
-	}
-	f.applyFullRead(ctx, u, started)
-	f.recordAnswer()
-	return nil
-}
-
-// applyFullRead applies a full read and passes the directory to the core. That is the
-// replica's, which may be newer than the read and has what the store lost.
-func (f *feed) applyFullRead(ctx context.Context, u replica.Update, started time.Duration) {
-	held := f.replica.Position()
-	if held.IsZero() && f.greeted != nil {
-		f.replica.Apply(u)
-		f.awaitGreeting(ctx)
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	fresh, isNew := f.replica.Apply(u)
-	if !isNew {
-		fresh = f.replica.Snapshot()
-	}
-	ch := f.translator.change(fresh)
-	f.log.Info("directory read", positionFields(u.Position(), zap.Bool("new", isNew), zap.Uint64("held_era", uint64(held.Era)),
-		zap.Uint64("held_revision", uint64(held.Revision)), zap.Int("kept", f.replica.Kept()), zap.Int("upstreams", len(ch.Upstreams)), zap.Int("unusable", len(ch.Removed)))...)
-	ch.RequestedAt = started
-	f.send(ctx, feedEvent{kind: feedChange, change: ch})
-	f.announceConfirmation(ctx)
-}
-
-// awaitGreeting waits until greeted is closed, at most startupPeerWait.
-func (f *feed) awaitGreeting(ctx context.Context) {
-	timer := time.NewTimer(startupPeerWait)
-	defer timer.Stop()
-	select {
-	case <-f.greeted:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // watch makes one call that waits for writes, then pauses for the rest of
 // minWatchInterval to batch writes that come in quick succession.
 func (f *feed) watch(ctx context.Context) error {
--- a/internal/dsrhost/feed_test.go
+++ b/internal/dsrhost/feed_test.go
@@ -35,6 +35,9 @@
 	position    store.Page
 	positionErr error
 	positions   int
+	// evacuations is the page of evacuations, evacuationLists the number of its reads.
+	evacuations     store.Page
+	evacuationLists int
 }
 
 // watchAnswer is the prepared result of a watch.
@@ -58,6 +61,10 @@
 		s.positions++
 		return s.position, s.positionErr
 	}
+	if prefix == testLayout.EvacuationPrefix {
+		s.evacuationLists++
+		return s.evacuations, nil
+	}
 	if after == "" {
 		s.lists++
 	}
@@ -95,6 +102,9 @@
 	UpstreamPrefix:   "up/",
 	MaxRegistration:  64,
 	ConfigurationKey: "config",
+	EvacuationPrefix: "evacuate/",
+	MaxEvacuation:    64,
+	DecodeEvacuation: func(value []byte) error { return json.Unmarshal(value, new(map[string]any)) },
 	DecodeUpstream: func(key string, value []byte, revision store.Revision) (directory.Upstream, error) {
 		if len(value) == 0 {
 			return directory.Upstream{}, errors.New("empty")
@@ -112,12 +122,17 @@
 
 // runFeed runs a feed of the store until the test ends, and returns it and its events.
 func runFeed(t *testing.T, s store.Store) (*feed, chan feedEvent) {
+	return startFeed(t, s, false, zap.NewNop())
+}
+
+// startFeed runs a feed that reads evacuations if wanted.
+func startFeed(t *testing.T, s store.Store, evacuations bool, logger *zap.Logger) (*feed, chan feedEvent) {
 	events := make(chan feedEvent, 64)
-	log := logging.ForComponent(zap.NewNop(), "directory")
+	log := logging.ForComponent(logger, "directory")
 	st := newStats(nil)
 	began := time.Now()
 	elapsed := func() time.Duration { return time.Since(began) }
-	tr := &translator{layout: testLayout, log: log, stats: st}
+	tr := &translator{layout: testLayout, log: log, stats: st, evacuations: evacuations}
 	f := &feed{
 		store: s, translator: tr, replica: replica.New(tr, elapsed), log: log, elapsed: elapsed, out: events, resync: make(chan struct{}, 1), confirm: make(chan struct{}, 1), stats: st,
 	}
--- a/internal/dsrhost/host.go
+++ b/internal/dsrhost/host.go
@@ -86,11 +86,14 @@
 	}
 	h.stats = newStats(d.LogOutput)
 	h.checker = newChecker(h.elapsed)
-	h.translator = &translator{layout: d.Layout, log: logging.ForComponent(d.Logger, "directory"), stats: h.stats}
+	h.translator = &translator{layout: d.Layout, log: logging.ForComponent(d.Logger, "directory"), stats: h.stats, evacuations: d.Settings.EvacuateWithin > 0}
+	if h.translator.evacuations {
+		h.stats.registerEvacuations()
+	}
 	h.replica = replica.New(h.translator, h.elapsed)
 	h.feed = &feed{
 		store: d.Store, translator: h.translator, replica: h.replica, log: h.translator.log,
-		minWatchInterval: d.Settings.ApplyWithin / watchIntervalDivisor, elapsed: h.elapsed, out: h.events,
+		minWatchInterval: d.Settings.distributeWithin() / watchIntervalDivisor, elapsed: h.elapsed, out: h.events,
 		resync: make(chan struct{}, 1), confirm: make(chan struct{}, 1), resume: make(chan struct{}, 1), stats: h.stats,
 	}
 	h.stats.registerFeed(h.feed)
@@ -116,7 +119,7 @@
 	if s.Control.IsValid() {
 		h.peer, err = dsrpeer.Listen(dsrpeer.Settings{
 			Control: s.Control, Zone: s.Zone, Contacts: s.Contacts, Replica: h.replica,
-			Delegate: s.ApplyWithin >= minDelegateApplyTime, NeedsPeers: h.feed.needsPeers, StoreAge: h.feed.storeAge,
+			Delegate: s.distributeWithin() >= minDelegateApplyTime, NeedsPeers: h.feed.needsPeers, StoreAge: h.feed.storeAge,
 			StoreFailing: h.feed.failing.Load, ResumeReading: h.feed.resumeReading, ReaderLostStore: h.feed.reportReaderLostStore, Resync: h.feed.requestResync, ApplyUpdate: h.applyFromPeer, Log: logging.ForComponent(h.deps.Logger, "peer"), Now: h.elapsed,
 		})
 		if err != nil {
@@ -165,7 +168,7 @@
 func (h *Host) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	h.log.Info("started", zap.Duration("stop_timeout", h.settings.StopTimeout), zap.Duration("apply_within", h.settings.ApplyWithin), zap.String("name", h.settings.Name), zap.String("zone", h.settings.Zone), zap.Stringer("data", h.settings.Data), zap.Stringer("store", h.settings.Store))
+	h.log.Info("started", zap.Duration("stop_timeout", h.settings.StopTimeout), zap.Duration("apply_within", h.settings.ApplyWithin), zap.Duration("evacuate_within", h.settings.EvacuateWithin), zap.String("name", h.settings.Name), zap.String("zone", h.settings.Zone), zap.Stringer("data", h.settings.Data), zap.Stringer("store", h.settings.Store))
 	failures := make(chan error, 4)
 	var tasks sync.WaitGroup
 	tasks.Go(func() { h.feed.run(ctx) })
--- a/internal/dsrhost/settings.go
+++ b/internal/dsrhost/settings.go
@@ -36,6 +36,17 @@
 	StopTimeout time.Duration
 	// ApplyWithin is the longest allowed time from the acceptance of a configuration until it is active.
 	ApplyWithin time.Duration
+	// EvacuateWithin is the longest allowed time from the write of an evacuation until it is in force.
+	// Zero means that evacuations are not read.
+	EvacuateWithin time.Duration
+}
+
+// distributeWithin returns the strictest bound on the time in which a write of the operators is in force.
+func (s *Settings) distributeWithin() time.Duration {
+	if s.EvacuateWithin > 0 {
+		return min(s.ApplyWithin, s.EvacuateWithin)
+	}
+	return s.ApplyWithin
 }
 
 // Layout describes the keys of the store's items and how their values are decoded.
@@ -46,6 +57,12 @@
 	MaxRegistration int
 	// ConfigurationKey is the key of the accepted configuration.
 	ConfigurationKey string
+	// EvacuationPrefix is the key prefix of evacuations, which the name of the zone follows. MaxEvacuation
+	// is the largest value, in bytes.
+	EvacuationPrefix string
+	MaxEvacuation    int
+	// DecodeEvacuation checks the value of an evacuation.
+	DecodeEvacuation func(value []byte) error
 	// DecodeUpstream decodes a registration.
 	DecodeUpstream func(key string, value []byte, revision store.Revision) (directory.Upstream, error)
 	// DecodeConfiguration decodes a configuration. Invalid routes are left out and
--- a/internal/dsrhost/state.go
+++ b/internal/dsrhost/state.go
@@ -97,6 +97,9 @@
 	fmt.Fprintf(t, "configuration version %d of era %d, revision %d with %d routes; %d flows\n", s.Version, s.ConfigurationEra, s.ConfigurationRevision, s.Routes, s.Flows)
 	fmt.Fprintf(t, "store: era %d, revision %d, %d lost entries kept, heard %d ms ago, down %t, read by %s; %d hosts known\n",
 		s.Era, s.Revision, s.Kept, s.StoreAnswerAgeMs, s.StoreDown, cmp.Or(s.Reader, "this host"), s.Peers)
+	for _, e := range s.EvacuatedZones {
+		fmt.Fprintf(t, "zone %s evacuated: era %d, revision %d, for %d ms, lost by the store %t\n", e.Zone, e.Era, e.Revision, e.AgeMs, e.Lost)
+	}
 	fmt.Fprintf(t, "zones in doubt %v, own link suspected %t; place %d of %d in the zone\n\n", s.SuspectZones, s.OwnLinkSuspected, s.ZoneIndex, s.ZoneHosts)
 	fmt.Fprintln(t, "SERVICE\tOWN SLOTS\tWORK MS\tDEMAND\tWAITING\tSPILLED\tSPILL LIMIT")
 	for i := range s.Services {
--- a/internal/dsrhost/stats.go
+++ b/internal/dsrhost/stats.go
@@ -23,6 +23,7 @@
 	// checks counts checks of upstreams by what they say.
 	checks                           map[dsr.CheckOutcome]*metrics.Counter
 	flows, version, configurationAge atomic.Int64
+	evacuations                      evacuationGauges
 }
 
 // Values of the metric label "op" for calls to the store.
--- a/internal/dsrhost/translate.go
+++ b/internal/dsrhost/translate.go
@@ -17,14 +17,18 @@
 	layout Layout
 	log    logging.Logger
 	stats  *stats
+	// evacuations is set if evacuations are read.
+	evacuations bool
+	refused     refusedEntries
 }
 
-// filterEvents returns the events of registrations and of the configuration, without the
-// content of oversized registrations. It reuses the slice.
+// filterEvents returns the events of registrations, of the configuration and, if they are read, of
+// evacuations, without the content of oversized items. It reuses the slice.
 func (t *translator) filterEvents(events []store.Event) []store.Event {
 	out := events[:0]
 	for i := range events {
-		if key := events[i].Entry.Key; key == t.layout.ConfigurationKey || strings.HasPrefix(key, t.layout.UpstreamPrefix) {
+		key := events[i].Entry.Key
+		if key == t.layout.ConfigurationKey || strings.HasPrefix(key, t.layout.UpstreamPrefix) || t.readsEvacuations(key) {
 			t.dropOversized(&events[i].Entry)
 			out = append(out, events[i])
 		}
@@ -36,6 +40,10 @@
 // it, the entry of another writer still counts as one that can't be read, but takes no memory
 // here and no room in the messages to other hosts.
 func (t *translator) dropOversized(e *store.Entry) {
+	if t.readsEvacuations(e.Key) {
+		t.dropOversizedEvacuation(e)
+		return
+	}
 	if e.Key == t.layout.ConfigurationKey || len(e.Value) <= t.layout.MaxRegistration {
 		return
 	}
@@ -52,6 +60,8 @@
 		switch {
 		case e.Entry.Key == t.layout.ConfigurationKey:
 			t.addConfiguration(ch, e)
+		case t.layout.isEvacuation(e.Entry.Key):
+			t.addEvacuation(ch, e)
 		case e.Deleted:
 			ch.Removed = append(ch.Removed, directory.Removal{Key: e.Entry.Key, Era: e.Entry.Era, Revision: e.Entry.Modified})
 		default:
@@ -104,6 +114,9 @@
 			positionFields(later.Position(), zap.Uint64("version", before.Version), zap.Uint64("store_version", versionOf(after)))...)
 		return earlier
 	}
+	if t.layout.isEvacuation(earlier.Key) {
+		return t.resolveEvacuation(earlier, later)
+	}
 	before, errBefore := t.layout.DecodeUpstream(earlier.Key, earlier.Value, earlier.Modified)
 	after, errAfter := t.layout.DecodeUpstream(later.Key, later.Value, later.Modified)
 	switch {
@@ -121,8 +134,10 @@
 }
 
 // Expires implements replica.Policy. Upstreams write lost registrations again by themselves;
-// a lost configuration stays in force until the operators write a newer one.
-func (t *translator) Expires(key string) bool { return key != t.layout.ConfigurationKey }
+// a lost configuration or evacuation stays in force until the operators write it again.
+func (t *translator) Expires(key string) bool {
+	return key != t.layout.ConfigurationKey && !t.layout.isEvacuation(key)
+}
 
 func versionOf(c *directory.Configuration) uint64 {
 	if c == nil {
--- a/internal/dsrpeer/peer_test.go
+++ b/internal/dsrpeer/peer_test.go
@@ -47,6 +47,7 @@
 
 func (latestEra) Resolve(_, later store.Entry) store.Entry { return later }
 func (latestEra) Expires(key string) bool                  { return strings.HasPrefix(key, "up/") }
+func (latestEra) EndsByRemoval(string) bool                { return false }
 
 // start runs a host on a free port until its stop or the end of the test.
 func start(t *testing.T, contacts ...netip.AddrPort) *host {
--- a/internal/replica/kept.go
+++ b/internal/replica/kept.go
@@ -18,6 +18,9 @@
 	Resolve(earlier, later store.Entry) store.Entry
 	// Expires reports whether a lost entry of the key is kept for directory.RewriteTime only.
 	Expires(key string) bool
+	// EndsByRemoval reports whether the removal of the key ends its earlier entries for good, if the
+	// store had it in the current era: a host that missed the removal may offer them later.
+	EndsByRemoval(key string) bool
 }
 
 // Kept returns the number of entries that the store lost and that are kept.
@@ -52,7 +55,7 @@
 // keep keeps an entry of an earlier era if the store lost it. It returns the entry that
 // holds for the key and whether that changed.
 func (r *Replica) keep(e store.Entry) (store.Entry, bool) {
-	if e.Era >= r.position.Era || r.policy.Expires(e.Key) && r.now() >= r.keptUntil {
+	if e.Era >= r.position.Era || e.Position().Compare(r.ended[e.Key]) <= 0 || r.policy.Expires(e.Key) && r.now() >= r.keptUntil {
 		return e, false
 	}
 	held, ok := r.held(e.Key)
@@ -131,3 +134,22 @@
 }
 
 func (r *Replica) keptFor() time.Duration { return max(r.keptUntil-r.now(), 0) }
+
+// maxEnded bounds the removals that are remembered. Operators remove such keys by hand.
+const maxEnded = 1024
+
+// noteEnded remembers the removal of a key, if its earlier entries end by that.
+func (r *Replica) noteEnded(key string, at store.Position) {
+	if r.policy.EndsByRemoval(key) && len(r.ended) < maxEnded {
+		r.ended[key] = at
+	}
+}
+
+// noteMissing remembers the removals that a newer full read of the same era shows.
+func (r *Replica) noteMissing(before map[string]store.Entry) {
+	for key, e := range before {
+		if _, ok := r.items[key]; !ok && e.Era == r.position.Era {
+			r.noteEnded(key, r.position)
+		}
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -52,6 +52,8 @@
 	// items holds the items of the store, kept those of earlier eras that hold instead.
 	items map[string]store.Entry
 	kept  map[string]store.Entry
+	// ended holds the position of the last removal of keys that end by it.
+	ended map[string]store.Position
 	// keptUntil is when kept entries that expire are dropped.
 	keptUntil time.Duration
 	// changes counts the changes of items and kept.
@@ -70,7 +72,7 @@
 func New(policy Policy, now func() time.Duration) *Replica {
 	return &Replica{
 		policy: policy, now: now,
-		items: make(map[string]store.Entry), kept: make(map[string]store.Entry), subscribers: make(map[*Subscription]struct{}),
+		items: make(map[string]store.Entry), kept: make(map[string]store.Entry), ended: make(map[string]store.Position), subscribers: make(map[*Subscription]struct{}),
 	}
 }
 
@@ -127,6 +129,7 @@
 			r.keptUntil = r.now() + min(u.KeptFor, directory.RewriteTime)
 		}
 	}
+	before := r.items
 	r.position = u.Position()
 	r.items, r.kept = make(map[string]store.Entry, len(u.Events)), make(map[string]store.Entry)
 	for i := range u.Events {
@@ -136,6 +139,7 @@
 			lost = append(lost, e)
 		}
 	}
+	r.noteMissing(before)
 	for _, e := range lost {
 		r.keep(e)
 	}
@@ -155,6 +159,7 @@
 		if e.Deleted {
 			delete(r.items, key)
 			if !kept {
+				r.noteEnded(key, e.Entry.Position())
 				out = append(out, e)
 			}
 			continue
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -21,7 +21,9 @@
 	return later
 }
 
-func (versions) Expires(key string) bool { return key != "config" }
+func (versions) Expires(key string) bool { return key != "config" && key != "zone" }
+
+func (versions) EndsByRemoval(key string) bool { return key == "zone" }
 
 // newReplica returns a replica and its clock.
 func newReplica() (*Replica, *time.Duration) {
@@ -227,3 +229,31 @@
 	_, _ = started.DropExpired()
 	require.Equal(t, map[string]string{"a": "1"}, contents(started))
 }
+
+// Guards against a lost evacuation that ends by the removal of nothing, and against one that was written
+// again and removed and comes back from a host that missed that.
+func TestLostEntryEndsByRewriteAndRemoval(t *testing.T) {
+	removed := func(at store.Revision) store.Event {
+		return store.Event{Entry: store.Entry{Key: "zone", Era: 2, Modified: at}, Deleted: true}
+	}
+	held := Update{Full: true, Era: 1, AtRevision: 9, Events: []store.Event{value("zone", "{}", 1, 9)}}
+	for _, c := range []struct {
+		what string
+		end  []Update
+	}{
+		{"watched", []Update{{Era: 2, AtRevision: 10, Events: []store.Event{removed(10)}}, {Era: 2, AtRevision: 12, Events: []store.Event{value("zone", "{}", 2, 11), removed(12)}}}},
+		{"missed by the watch", []Update{{Era: 2, AtRevision: 10, Events: []store.Event{removed(10)}}, {Era: 2, AtRevision: 11, Events: []store.Event{value("zone", "{}", 2, 11)}}, {Full: true, Era: 2, AtRevision: 12}}},
+	} {
+		r, now := newReplica()
+		r.Apply(held)
+		r.Apply(Update{Full: true, Era: 2, AtRevision: 8})
+		*now += time.Hour
+		for _, u := range c.end {
+			require.Equal(t, map[string]string{"zone": "{}"}, contents(r), c.what)
+			r.Apply(u)
+		}
+		require.Empty(t, contents(r), c.what)
+		r.Apply(held)
+		require.Empty(t, contents(r), c.what)
+	}
+}
--- a/internal/standin/dsrworld/config.go
+++ b/internal/standin/dsrworld/config.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// EvacuationPrefix is the key prefix of evacuations in the store.
+const EvacuationPrefix = "op/evacuate/"
+
 // ConfigurationKey is the key of the configuration in the store.
 const ConfigurationKey = "op/config"
 
@@ -40,6 +43,8 @@
 	Store    string
 	// StopTimeout limits a planned stop, ApplyTimeout the time until a configuration is in force.
 	StopTimeout, ApplyTimeout time.Duration
+	// EvacuateTimeout limits the time until an evacuation is in force; left out if it is zero.
+	EvacuateTimeout time.Duration
 }
 
 // Encode returns the settings file.
@@ -48,11 +53,15 @@
 	for _, z := range s.Zones {
 		zones[z] = "region"
 	}
+	bounds := map[string]any{"graceS": s.StopTimeout.Seconds(), "configApplyMs": s.ApplyTimeout.Milliseconds()}
+	if s.EvacuateTimeout > 0 {
+		bounds["evacuateMs"] = s.EvacuateTimeout.Milliseconds()
+	}
 	return json.Marshal(map[string]any{
 		"node": s.Name, "zone": s.Zone, "zones": zones,
 		"listen":   map[string]string{"datagramAddr": s.Data.String(), "ready": s.Ready.String(), "control": s.Control.String()},
 		"seeds":    s.Contacts,
-		"bounds":   map[string]any{"graceS": s.StopTimeout.Seconds(), "configApplyMs": s.ApplyTimeout.Milliseconds()},
+		"bounds":   bounds,
 		"platform": map[string]any{"addr": s.Store},
 		"unknown":  1,
 	})
