dsr: paced return of upstreams

A cold upstream got as many new flows as any other: slow start is only a factor of 1.6 in its cost, and each host decides alone.

With bounds.coldOver and bounds.coldSlack in the settings, and coldStartS and coldPerS of the service in the configuration, an upstream is cold for coldStartS after its start and after its zone is in use again, and for the coldLeftMs of its registration, also of a later write. All hosts together send it at most coldPerS x coldOver + coldSlack opening packets in any second. One host of its zone opens its flows meanwhile, by rendezvous hashing over the hosts that the exchange knows; no message is added. It counts placements and copies of SYNs in a sliding window. A host opens none in its first 51.5 s, while it is cut off from half of the zone, for a second after it took an upstream over, and in a zone of more than 129 hosts.

A test runs the exchange of 11 hosts in virtual time with restarts, pauses and cuts.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -43,6 +43,13 @@
 	return store.Position{Era: u.Era, Revision: u.Revision}
 }
 
+// ColdStart is how a service's upstreams return: for Duration after their start they are cold, and take
+// PerSecond opening packets a second, which the bound of the deployment enlarges.
+type ColdStart struct {
+	Duration  time.Duration
+	PerSecond float64
+}
+
 // Target is a service that gets a share of the new flows of a route.
 type Target struct {
 	Service string
@@ -73,8 +80,10 @@
 	Routes  []Route
 	// Services holds the names of the services that the configuration declares.
 	Services []string
-	Era      store.Era
-	Revision store.Revision
+	// ColdStarts holds the cold starts that services declare, by name; nil if none does.
+	ColdStarts map[string]ColdStart `json:",omitempty"`
+	Era        store.Era
+	Revision   store.Revision
 	// Skipped is the number of routes that could not be decoded.
 	Skipped int
 }
@@ -91,6 +100,9 @@
 	// RequestedAt is when the read behind a full change was requested, as the time since the start
 	// of the host.
 	RequestedAt time.Duration
+	// Clock is the time at which the change was made, in milliseconds since the Unix epoch, for the age of
+	// incarnations; zero is unknown.
+	Clock int64
 	// Era and Revision are the position of the store of the directory after the change. Upstreams
 	// of an earlier era are registrations that the store lost in a restore and that are kept.
 	Era      store.Era
--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -23,6 +23,7 @@
 	if ch.Position().Compare(c.directoryPosition) > 0 {
 		c.directoryPosition = ch.Position()
 	}
+	c.cold.beginChange(ch)
 	if ch.Full {
 		c.removeMissing(now, ch)
 		c.fullReadAt = ch.RequestedAt
@@ -50,6 +51,9 @@
 		c.applyConfiguration(now, ch.Configuration)
 	}
 	c.applyEvacuations(now, ch)
+	if ch.Full && c.cold.bound != nil {
+		c.dropAllWarm(now)
+	}
 	if ch.Full {
 		if !c.complete {
 			c.complete, c.tokensKnownAt = true, now+tokensUnknownTime
@@ -146,6 +150,9 @@
 			u.service.sharesStale = true
 		}
 		wasLost := u.lost && d.Era == u.Era
+		if d.Position().Compare(u.Position()) > 0 {
+			c.extendCold(now, u, d.SlowStart)
+		}
 		u.Upstream, u.evacuated = *d, c.isEvacuated(d.Zone)
 		u.unreadable, u.unknownService = false, nil
 		if !wasLost {
@@ -171,6 +178,7 @@
 	if d.SlowStart > 0 {
 		n.slowStartUntil = now + d.SlowStart
 	}
+	c.startCold(now, n)
 	if u != nil {
 		u.replacedBy = n
 	}
--- a/internal/dsr/choose.go
+++ b/internal/dsr/choose.go
@@ -103,7 +103,7 @@
 	if suspect {
 		ch.suspect++
 	}
-	if !admits(now, ch, u, r.LatencyObjective, spills) {
+	if !c.admitsCold(now, u) || !admits(now, ch, u, r.LatencyObjective, spills) {
 		if !suspect {
 			ch.full++
 		}
@@ -117,8 +117,9 @@
 // admits reports whether another flow may be opened at an upstream.
 func admits(now time.Duration, ch *choice, u *upstream, objective time.Duration, spills bool) bool {
 	s := ch.state
-	slots := u.share * float64(u.Slots)
-	if u.share == 0 {
+	share := u.placementShare()
+	slots := share * float64(u.Slots)
+	if share == 0 {
 		if !spills {
 			return false
 		}
@@ -138,11 +139,11 @@
 	switch {
 	case u.Zone != c.zone:
 		load += crossZoneLoad
-	case u.share == 0:
+	case u.placementShare() == 0:
 		load += foreignLoad
 	default:
 		// The other hosts that share the upstream send it as much in proportion.
-		load /= u.share
+		load /= u.placementShare()
 	}
 	cost := (load + 1) * u.slowdown(now, ch.state) / float64(u.Slots)
 	if suspect {
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -100,6 +100,7 @@
 	// have upstreams in such zones only.
 	evacuations       map[string]evacuation
 	evacuatedServices int
+	cold              coldControl
 
 	records []Record
 	samples []Sample
@@ -172,7 +173,10 @@
 		c.declared[name] = true
 	}
 	for _, s := range c.services {
-		s.latencyObjective, s.lowestPriority = 0, 0
+		s.latencyObjective, s.lowestPriority, s.coldStart = 0, 0, nil
+	}
+	for name, cold := range n.ColdStarts {
+		c.serviceOf(name).coldStart = &cold
 	}
 	for i := range n.Routes {
 		r := &route{Route: n.Routes[i]}
@@ -241,10 +245,7 @@
 		}
 		f.synRetransmits++
 		if c.keepsUpstream(now, f) {
-			if f.upstream.evacuated {
-				return Effect{Action: Drop, Reason: ReasonEvacuated}
-			}
-			return c.forwardTo(f.upstream, ReasonSYNRetransmit)
+			return c.repeatOpening(now, f.upstream)
 		}
 		reason, moved = ReasonMoved, f.moveEvidence(now)
 	}
@@ -276,7 +277,7 @@
 	c.cache.touch(now, f)
 	c.cache.setPhase(now, f, phaseOpening)
 	c.emitOpening("flow opened", now, p, r, choice, reason)
-	return c.forwardTo(choice.upstream, reason)
+	return c.forwardOpening(now, choice.upstream, reason)
 }
 
 // handleNotPlaced decides on a SYN for which there is no upstream. If all are at their limits, the
@@ -317,7 +318,7 @@
 	case f.phase == phaseOpening:
 		return true
 	default:
-		return u.usable() && !u.suspect(now)
+		return u.usable() && !u.suspect(now) && c.admitsCold(now, u)
 	}
 }
 
--- a/internal/dsr/dsr.go
+++ b/internal/dsr/dsr.go
@@ -132,13 +132,16 @@
 	// ReasonEvacuated means that the upstream of a repeated SYN, or all upstreams of the service, are in
 	// evacuated zones.
 	ReasonEvacuated
+	// ReasonCold means that the upstream of a repeated SYN is cold and takes no opening packet from this
+	// host now.
+	ReasonCold
 	reasonCount
 )
 
 // reasonNames holds the names in logs and metrics. ReasonSYNRetransmit is "copy" there.
 var reasonNames = [reasonCount]string{
 	"routed", "unregistered", "placed", "copy", "moved", "malformed", "no configuration", "no route", "stale configuration", "no upstream",
-	"paced", "overloaded", "no token", "unknown token", "upstream gone", "upstream silent", "evacuated",
+	"paced", "overloaded", "no token", "unknown token", "upstream gone", "upstream silent", "evacuated", "cold upstream",
 }
 
 // String returns the reason as it appears in logs and metrics.
--- a/internal/dsr/evacuation.go
+++ b/internal/dsr/evacuation.go
@@ -99,6 +99,7 @@
 
 func (c *Core) endEvacuation(now time.Duration, zone, key string, at store.Position) {
 	delete(c.evacuations, zone)
+	c.coolZone(now, zone)
 	c.emitEvacuation("availability zone in use again", now, zone, key, at)
 }
 
@@ -154,6 +155,18 @@
 	return all
 }
 
+// repeatOpening decides on a copy of a SYN that goes to the upstream of the first one.
+func (c *Core) repeatOpening(now time.Duration, u *upstream) Effect {
+	switch {
+	case u.evacuated:
+		return Effect{Action: Drop, Reason: ReasonEvacuated}
+	case !c.admitsCold(now, u):
+		return Effect{Action: Drop, Reason: ReasonCold}
+	default:
+		return c.forwardOpening(now, u, ReasonSYNRetransmit)
+	}
+}
+
 // rejectEvacuated decides on a SYN for which there is no upstream because all zones that have upstreams
 // of the service are evacuated; it reports false if that is not the reason. The first SYN of a flow that
 // is not known is rejected. Otherwise the flow may be open, and the copy is dropped.
--- a/internal/dsr/service.go
+++ b/internal/dsr/service.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"mimosashore.example/mimosashore/internal/directory"
 	"mimosashore.example/mimosashore/internal/loadcontrol"
 )
 
@@ -17,6 +18,8 @@
 	own         []*upstream
 	ownSlots    float64
 	sharesStale bool
+	// coldStart is the cold start that the configuration declares; nil if it declares none.
+	coldStart *directory.ColdStart
 	// evacuated is set while all zones that have upstreams of the service are evacuated.
 	evacuated bool
 	// latency is the mean time from request to answer, in seconds; zero is unknown.
--- a/internal/dsr/state.go
+++ b/internal/dsr/state.go
@@ -59,7 +59,10 @@
 	Busy      int    `json:"busy"`
 	Flows     int    `json:"flows"`
 	// Share is the part of the upstream that this host is responsible for.
-	Share     float64 `json:"share"`
+	Share float64 `json:"share"`
+	// ColdMs is how long the upstream stays cold, ColdOwned is set if this host opens its flows meanwhile.
+	ColdMs    int64   `json:"cold_ms,omitempty"`
+	ColdOwned bool    `json:"cold_owned,omitempty"`
 	LatencyMs float64 `json:"latency_ms"`
 	// LastAnswerAgeMs is the time since the upstream last answered; -1 if it never has.
 	LastAnswerAgeMs int64 `json:"life_ms"`
@@ -92,7 +95,7 @@
 	}
 	slices.SortFunc(s.Services, func(a, b ServiceState) int { return cmp.Compare(a.Name, b.Name) })
 	for _, u := range c.byKey {
-		s.Upstreams = append(s.Upstreams, u.state(now))
+		s.Upstreams = append(s.Upstreams, c.upstreamState(now, u))
 	}
 	for _, u := range c.goneList {
 		s.Upstreams = append(s.Upstreams, u.state(now))
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -55,6 +55,8 @@
 	goneAt         time.Duration
 	goneBy         Evidence
 	slowStartUntil time.Duration
+	// cold is nil if the upstream is not cold.
+	cold *coldStart
 
 	// opening is the number of flows of this host whose handshake is not completed, busy the number
 	// of those with a request in progress, flows the number of all open ones including busy.
--- a/internal/dsrhost/decide.go
+++ b/internal/dsrhost/decide.go
@@ -38,6 +38,7 @@
 		host: h, core: dsr.New(h.settings.Zone, h.deps.Format, xxhash.Sum64String(h.settings.Data.String())), writer: writer,
 		out: make([]netio.Datagram, 1), log: newRecordLog(h.deps.Logger, h.deps.LogOutput),
 	}
+	d.setUpCold()
 	defer h.checker.wait()
 	ticker := time.NewTicker(gaugeInterval)
 	defer ticker.Stop()
@@ -57,6 +58,7 @@
 		case <-ticker.C:
 			d.updateGauges()
 			d.updatePosition()
+			d.updateZoneHosts()
 		}
 		d.sendWaitingResets()
 		if d.core.TakeConfirmRequest() {
@@ -157,6 +159,7 @@
 	s.version.Store(int64(d.core.Version()))
 	s.configurationAge.Store(int64(d.core.ConfigurationAge(d.host.elapsed())))
 	s.evacuations.update(d.core)
+	s.cold.update(d.core)
 }
 
 // recordLog writes records of the core to the log.
--- a/internal/dsrhost/settings.go
+++ b/internal/dsrhost/settings.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"mimosashore.example/mimosashore/internal/directory"
+	"mimosashore.example/mimosashore/internal/loadcontrol"
 	"mimosashore.example/mimosashore/internal/store"
 )
 
@@ -39,6 +40,8 @@
 	// EvacuateWithin is the longest allowed time from the write of an evacuation until it is in force.
 	// Zero means that evacuations are not read.
 	EvacuateWithin time.Duration
+	// ColdBound bounds the opening packets to cold upstreams; nil if they are not bounded.
+	ColdBound *loadcontrol.ColdBound
 }
 
 // distributeWithin returns the strictest bound on the time in which a write of the operators is in force.
--- a/internal/dsrhost/stats.go
+++ b/internal/dsrhost/stats.go
@@ -24,6 +24,7 @@
 	checks                           map[dsr.CheckOutcome]*metrics.Counter
 	flows, version, configurationAge atomic.Int64
 	evacuations                      evacuationGauges
+	cold                             coldGauges
 }
 
 // Values of the metric label "op" for calls to the store.
--- a/internal/dsrhost/translate.go
+++ b/internal/dsrhost/translate.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -54,7 +55,7 @@
 // change converts an update to a change of the directory. Malformed items are
 // logged, counted and left out.
 func (t *translator) change(u replica.Update) *directory.Change {
-	ch := &directory.Change{Full: u.Full, Era: u.Era, Revision: u.AtRevision}
+	ch := &directory.Change{Full: u.Full, Clock: time.Now().UnixMilli(), Era: u.Era, Revision: u.AtRevision}
 	for i := range u.Events {
 		e := &u.Events[i]
 		switch {
--- a/internal/dsrpeer/peertable.go
+++ b/internal/dsrpeer/peertable.go
@@ -32,6 +32,8 @@
 	zone     string
 	contacts []netip.AddrPort
 	hosts    map[netip.AddrPort]peerEntry
+	// former holds hosts of the zone that expired or did not answer.
+	former map[netip.AddrPort]peerEntry
 }
 
 // peerEntry is a known host.
@@ -42,7 +44,7 @@
 }
 
 func newPeerTable(self netip.AddrPort, zone string, contacts []netip.AddrPort) *peerTable {
-	return &peerTable{self: self, zone: zone, contacts: contacts, hosts: make(map[netip.AddrPort]peerEntry)}
+	return &peerTable{self: self, zone: zone, contacts: contacts, hosts: make(map[netip.AddrPort]peerEntry), former: make(map[netip.AddrPort]peerEntry)}
 }
 
 // add adds a host that was seen at the given time, or updates it if it was seen earlier. Hosts last
@@ -61,6 +63,7 @@
 		t.evictOldest()
 	}
 	t.hosts[a] = peerEntry{zone, seen}
+	delete(t.former, a)
 }
 
 // addNamed adds the hosts named by another one, unless the table is full, and updates known ones. The
@@ -95,7 +98,7 @@
 func (t *peerTable) remove(a netip.AddrPort) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.hosts, a)
+	t.retire(a)
 }
 
 // setContacts replaces the configured contacts.
@@ -109,7 +112,7 @@
 func (t *peerTable) expire(now time.Duration) {
 	for a, e := range t.hosts {
 		if now-e.lastSeen > peerExpiry {
-			delete(t.hosts, a)
+			t.retire(a)
 		}
 	}
 }
--- a/internal/loadcontrol/doc.go
+++ b/internal/loadcontrol/doc.go
@@ -21,6 +21,8 @@
 //	demand exceeds the slots         Demand: refused at once                     waiting callers aren't served
 //	urgent and other requests mix    Class: urgent requests get a larger limit,  urgent work goes first; requests
 //	                                 late ones a smaller one                     that aren't late can be in time
+//	upstreams return empty           ColdOwners, ColdPacer: one host of the      a burst makes them slow for all;
+//	                                 zone opens few flows to each                a bound per host would not add up
 //	requests on open flows           count as open before they are sent          a host can't refuse them
 //
 // Ways that were weighed, each against what a host can see:
