--- a/internal/dsr/choose.go
+++ b/internal/dsr/choose.go
@@ -101,7 +101,7 @@
 	if suspect {
 		ch.suspect++
 	}
-	if !c.admits(now, ch, u, r.LatencyObjective, spills) {
+	if !c.admitsCold(now, u) || !c.admits(now, ch, u, r.LatencyObjective, spills) {
 		if !suspect {
 			ch.full++
 		}
@@ -115,8 +115,9 @@
 // admits reports whether another flow may be opened at an upstream.
 func (c *Core) admits(now time.Duration, ch *choice, u *upstream, objective time.Duration, spills bool) bool {
 	s := ch.state
+	share := u.placementShare()
 	if s.schedules() {
-		if u.share == 0 {
+		if share == 0 {
 			if u.hasCredit(now) {
 				return true
 			}
@@ -125,8 +126,8 @@
 		return c.hasRoom(now, s, u) && c.isWorthwhile(now, s, u, ch.class)
 	}
 	limit := u.learnedLimit(now)
-	slots := u.share * limit
-	if u.share == 0 {
+	slots := share * limit
+	if share == 0 {
 		if !spills {
 			return false
 		}
@@ -146,11 +147,11 @@
 	switch {
 	case u.Zone != c.zone:
 		load += crossZoneLoad
-	case u.share == 0:
+	case u.placementShare() == 0:
 		load += foreignLoad
 	default:
 		// The other hosts that share the upstream send it as much in proportion.
-		load /= u.share
+		load /= u.placementShare()
 	}
 	cost := u.learnedCost(now, load, ch.class)
 	if suspect {
--- a/internal/dsr/learned.go
+++ b/internal/dsr/learned.go
@@ -166,8 +166,8 @@
 	}
 	last := max(u.learned.UpdatedAt(), u.pacer.AdmittedAt)
 	interval := u.probeInterval(u.learned.Work(now, &u.service.peers))
-	// The hosts that share the upstream probe it in turn.
-	return u.share > 0 && float64(now-last)*u.share >= float64(interval)
+	// Hosts with a small share of the upstream probe it less often; one with half of it notices recovery in time.
+	return u.share > 0 && float64(now-last)*min(1, 2*u.share) >= float64(interval)
 }
 
 func (u *upstream) judgement(now time.Duration) judgement {
--- a/internal/dsr/lending.go
+++ b/internal/dsr/lending.go
@@ -55,7 +55,7 @@
 		if wanted <= 0 {
 			break
 		}
-		if !u.usable() || u.suspect(now) || u.learned.Slow(now) {
+		if !u.usable() || u.suspect(now) || u.learned.Slow(now) || c.coldLeft(now, u) > 0 {
 			continue
 		}
 		free := u.share*u.learnedLimit(now) - float64(u.busy+u.opening+u.lender.Lent(now))
@@ -77,7 +77,7 @@
 	accepted := 0
 	for _, cr := range credits {
 		u := c.tokens[cr.Token]
-		if u == nil || u.service != s || u.share != 0 || !u.usable() || u.suspect(now) || cr.Count <= 0 {
+		if u == nil || u.service != s || u.share != 0 || !u.usable() || u.suspect(now) || c.coldLeft(now, u) > 0 || cr.Count <= 0 {
 			continue
 		}
 		if now >= u.creditUntil {
--- a/internal/dsr/room.go
+++ b/internal/dsr/room.go
@@ -19,10 +19,7 @@
 // limitAt returns the number of requests of this host that an upstream works on, and one more if the
 // latency objective leaves the time for it.
 func (c *Core) limitAt(now time.Duration, s *service, u *upstream, slots float64) float64 {
-	share := u.share
-	if share == 0 {
-		share = 1
-	}
+	share := u.placementShare()
 	limit := share * slots
 	if work := u.learnedWork(now); work > 0 && s.latencyObjective >= lookaheadObjective*work {
 		limit += share
@@ -39,7 +36,7 @@
 // hasRoomOnFlow is like hasRoom for a request on an open flow. Such a request can't go elsewhere, so an upstream
 // that is slow takes it as soon as it works on fewer than it can.
 func (c *Core) hasRoomOnFlow(now time.Duration, s *service, u *upstream) bool {
-	if u.share == 0 && u.busy+u.opening == 0 {
+	if u.placementShare() == 0 && u.busy+u.opening == 0 {
 		// After a change of the rotation, most flows are at upstreams of other hosts.
 		return true
 	}
@@ -47,7 +44,7 @@
 }
 
 func (c *Core) hasRoomFor(now time.Duration, s *service, u *upstream, slots float64) bool {
-	if u.share == 0 {
+	if u.placementShare() == 0 {
 		return s.spill.Admits(now, s.spilled, loadcontrol.Class{}) && float64(u.busy+u.opening) < slots
 	}
 	return u.pacer.Admits(now, float64(u.busy+u.opening+u.lender.Lent(now)), c.limitAt(now, s, u, slots), loadcontrol.Class{}, u.learnedWork(now))
@@ -70,7 +67,7 @@
 	}
 	slots := 0.0
 	for _, v := range s.own {
-		if !v.suspect(now) && !v.learned.Slow(now) {
+		if !v.suspect(now) && !v.learned.Slow(now) && c.coldLeft(now, v) == 0 {
 			slots += v.share * v.learnedLimit(now)
 		}
 	}
--- a/internal/dsr/servewaiting.go
+++ b/internal/dsr/servewaiting.go
@@ -47,9 +47,10 @@
 	if len(c.waiting.byKey) == 0 {
 		return
 	}
-	for s := range c.waiting.services {
+	for _, s := range c.waiting.services {
 		c.serveService(now, s)
 	}
+	c.waiting.services = slices.DeleteFunc(c.waiting.services, func(s *service) bool { return s.queue.Len() == 0 })
 }
 
 func (c *Core) serveService(now time.Duration, s *service) {
@@ -72,7 +73,7 @@
 				continue
 			}
 			var e *schedule.Entry[*waitingRequest]
-			if c.hasRoom(now, s, u) && c.isWorthwhile(now, s, u, loadcontrol.Class{}) {
+			if s.queue.FreeLen() > 0 && c.hasRoom(now, s, u) && c.isWorthwhile(now, s, u, loadcontrol.Class{}) && c.admitsCold(now, u) {
 				e = s.queue.Next(now, &u.line, u.learnedWork(now))
 			} else {
 				e = s.queue.NextInLine(now, &u.line)
@@ -83,6 +84,7 @@
 			}
 		}
 	}
+	c.serveCold(now, s)
 	c.askForCredits(now, s)
 	for !c.hasOwn(now, s) && s.queue.FreeLen() > 0 && s.spill.Admits(now, s.spilled, loadcontrol.Class{}) && c.hasForeign(now, s) {
 		e := s.queue.Next(now, nil, s.work.Mean())
@@ -107,6 +109,21 @@
 	s.lined = slices.DeleteFunc(s.lined, func(u *upstream) bool { return u.line.Len() == 0 })
 }
 
+// serveCold opens flows to the cold upstreams that only this host may send them to. It need not be one of those
+// that are responsible for them otherwise.
+func (c *Core) serveCold(now time.Duration, s *service) {
+	s.coldUpstreams = slices.DeleteFunc(s.coldUpstreams, func(u *upstream) bool { return u.gone || c.coldLeft(now, u) == 0 })
+	for _, u := range s.coldUpstreams {
+		for s.queue.FreeLen() > 0 && u.usable() && !u.suspect(now) && c.admitsCold(now, u) && c.hasRoom(now, s, u) {
+			e := s.queue.Next(now, nil, u.learnedWork(now))
+			if e == nil {
+				return
+			}
+			c.serve(now, e.Value)
+		}
+	}
+}
+
 // rejectLate rejects SYNs that can't be in time any more while the service is overloaded: requests that
 // can be in time take all slots. Where only upstreams of other hosts are left, urgent requests don't go first,
 // since nobody knows when these have room.
@@ -142,7 +159,7 @@
 // its peers.
 func (c *Core) hasOwn(now time.Duration, s *service) bool {
 	for _, u := range s.own {
-		if !u.suspect(now) && !u.learned.Slow(now) {
+		if !u.suspect(now) && !u.learned.Slow(now) && c.coldLeft(now, u) == 0 {
 			return true
 		}
 	}
@@ -152,7 +169,7 @@
 // hasForeign reports whether an upstream that other hosts are responsible for can take a flow.
 func (c *Core) hasForeign(now time.Duration, s *service) bool {
 	for _, u := range s.upstreams {
-		if u.share == 0 && u.usable() && !u.suspect(now) && float64(u.busy+u.opening) < u.learnedLimit(now) {
+		if u.share == 0 && u.usable() && !u.suspect(now) && c.coldLeft(now, u) == 0 && float64(u.busy+u.opening) < u.learnedLimit(now) {
 			return true
 		}
 	}
--- a/internal/dsr/service.go
+++ b/internal/dsr/service.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mimosashore.example/mimosashore/internal/capacity"
+	"mimosashore.example/mimosashore/internal/directory"
 	"mimosashore.example/mimosashore/internal/loadcontrol"
 	"mimosashore.example/mimosashore/internal/schedule"
 )
@@ -20,6 +21,8 @@
 	own         []*upstream
 	ownSlots    float64
 	sharesStale bool
+	// coldStart is the cold start that the configuration declares; nil if it declares none.
+	coldStart *directory.ColdStart
 	// evacuated is set while all zones that have upstreams of the service are evacuated.
 	evacuated bool
 	// latency is the mean time from request to answer, in seconds; zero is unknown.
@@ -43,6 +46,8 @@
 	deadline time.Duration
 	// urgentWaiting is the number of urgent requests in the queue.
 	urgentWaiting int
+	// coldUpstreams holds those that may be cold.
+	coldUpstreams []*upstream
 	// lined holds the upstreams for which requests on open flows wait.
 	lined []*upstream
 	// asker decides when to ask other hosts for slots.
@@ -158,14 +163,14 @@
 	}
 	slots := 0.0
 	for _, u := range s.own {
-		if !u.suspect(now) {
+		if !u.suspect(now) && c.coldLeft(now, u) == 0 {
 			slots += u.share * u.learnedLimit(now)
 		}
 	}
 	if slots > 0 {
 		return slots
 	}
-	return c.partOfAllSlots(s, func(u *upstream) bool { return u.usable() && !u.suspect(now) })
+	return c.partOfAllSlots(s, func(u *upstream) bool { return u.usable() && !u.suspect(now) && c.coldLeft(now, u) == 0 })
 }
 
 // partOfAllSlots returns this host's part of the slots of a service at the upstreams that are accepted, if
--- a/internal/dsr/state.go
+++ b/internal/dsr/state.go
@@ -60,6 +60,9 @@
 	Flows     int    `json:"flows"`
 	// Share is the part of the upstream that this host is responsible for.
 	Share float64 `json:"share"`
+	// ColdMs is how long the upstream stays cold, ColdOwned is set if this host opens its flows meanwhile.
+	ColdMs    int64 `json:"cold_ms,omitempty"`
+	ColdOwned bool  `json:"cold_owned,omitempty"`
 	// LearnedLimit is the number of requests that the upstream takes well at a time, LearnedWorkMs the
 	// time that one takes then.
 	LearnedLimit  float64 `json:"learned_limit"`
@@ -97,7 +100,7 @@
 	}
 	slices.SortFunc(s.Services, func(a, b ServiceState) int { return cmp.Compare(a.Name, b.Name) })
 	for _, u := range c.byKey {
-		s.Upstreams = append(s.Upstreams, u.state(now))
+		s.Upstreams = append(s.Upstreams, c.upstreamState(now, u))
 	}
 	for _, u := range c.goneList {
 		s.Upstreams = append(s.Upstreams, u.state(now))
--- a/internal/dsr/waiting.go
+++ b/internal/dsr/waiting.go
@@ -1,6 +1,9 @@
 package dsr
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"mimosashore.example/mimosashore/internal/list"
@@ -62,8 +65,8 @@
 	byKey map[flowKey]*waitingRequest
 	bytes int
 	last  HoldID
-	// services holds those with waiting requests.
-	services map[*service]struct{}
+	// services holds those with waiting requests, in the order in which the first one began to wait.
+	services []*service
 	// rejectable holds the SYNs that can be rejected in the order of their arrival: those that are not
 	// urgent, and the urgent ones.
 	rejectable [2]list.List[waitingRequest]
@@ -76,7 +79,7 @@
 func newWaiting() waiting {
 	links := func(w *waitingRequest) *list.Links[waitingRequest] { return &w.links }
 	return waiting{
-		byKey: make(map[flowKey]*waitingRequest), services: make(map[*service]struct{}),
+		byKey:      make(map[flowKey]*waitingRequest),
 		rejectable: [2]list.List[waitingRequest]{list.New(links), list.New(links)},
 	}
 }
@@ -180,7 +183,9 @@
 	if w.entry.Rejectable {
 		c.waiting.rejectable[classIndex(w.class.Urgent)].Push(w)
 	}
-	c.waiting.services[w.service] = struct{}{}
+	if !slices.Contains(c.waiting.services, w.service) {
+		c.waiting.services = append(c.waiting.services, w.service)
+	}
 	return c.keepPacket(w, p, reason)
 }
 
@@ -188,7 +193,7 @@
 func (c *Core) makeSpace(now time.Duration, p *Packet) {
 	for len(c.waiting.byKey) >= maxWaiting || c.waiting.bytes+p.Length+packetOverhead > maxWaitingBytes {
 		var lowest *waitingRequest
-		for s := range c.waiting.services {
+		for _, s := range c.waiting.services {
 			if e := s.queue.Lowest(); e != nil && (lowest == nil || e.Priority > lowest.entry.Priority) {
 				lowest = e.Value
 			}
@@ -216,9 +221,6 @@
 	c.waiting.rejectable[classIndex(w.class.Urgent)].Remove(w)
 	delete(c.waiting.byKey, w.key)
 	c.waiting.bytes -= w.bytes
-	if w.service.queue.Len() == 0 {
-		delete(c.waiting.services, w.service)
-	}
 }
 
 func (c *Core) recycle(w *waitingRequest) {
@@ -321,7 +323,10 @@
 // room for are rejected if the service is overloaded, and dropped otherwise: their copies reach other hosts.
 func (c *Core) StopWaiting(now time.Duration) {
 	c.serveWaiting(now)
-	for _, w := range c.waiting.byKey {
+	left := slices.SortedFunc(maps.Values(c.waiting.byKey), func(a, b *waitingRequest) int {
+		return cmp.Compare(a.packets[0].id, b.packets[0].id)
+	})
+	for _, w := range left {
 		if w.upstream != nil {
 			c.serve(now, w)
 			continue
--- a/internal/dsrhost/decide.go
+++ b/internal/dsrhost/decide.go
@@ -49,6 +49,7 @@
 	if h.credits != nil {
 		d.creditRequests, d.creditAnswers = h.credits.Requests, h.credits.Answers
 	}
+	d.setUpCold()
 	defer h.checker.wait()
 	ticker := time.NewTicker(gaugeInterval)
 	defer ticker.Stop()
@@ -81,6 +82,7 @@
 		case <-ticker.C:
 			d.updateGauges()
 			d.updatePosition()
+			d.updateZoneHosts()
 		}
 		d.sendReleased()
 		d.setTimer()
@@ -200,6 +202,7 @@
 	s.judgementChanges.Set(learned.Changes)
 	s.sheds.Set(learned.Sheds)
 	s.evacuations.update(d.core)
+	s.cold.update(d.core)
 }
 
 // recordLog writes records of the core to the log.
--- a/internal/dsrhost/stats.go
+++ b/internal/dsrhost/stats.go
@@ -25,6 +25,7 @@
 	checks                           map[dsr.CheckOutcome]*metrics.Counter
 	flows, version, configurationAge atomic.Int64
 	evacuations                      evacuationGauges
+	cold                             coldGauges
 	// waiting and waitingBytes are the requests that wait and the bytes of their packets.
 	waiting, waitingBytes atomic.Int64
 	// slowUpstreams and limitedUpstreams are the upstreams that are judged slow, and to take fewer requests than they have
