--- a/internal/dsr/learned.go
+++ b/internal/dsr/learned.go
@@ -103,8 +103,11 @@
 }
 
 // learnedKnee returns the number of requests above which the upstream rejects them or gets slower in
-// proportion, at most its slots.
+// proportion, at most its slots. It is the slots for a service without a latency objective.
 func (u *upstream) learnedKnee(now time.Duration) float64 {
+	if u.service.latencyObjective <= 0 {
+		return float64(u.Slots)
+	}
 	return u.learned.Limit(now, &u.service.peers, u.Slots)
 }
 
--- a/internal/loadcontrol/doc.go
+++ b/internal/loadcontrol/doc.go
@@ -25,8 +25,9 @@
 //
 // Ways that were weighed, each against what a host can see:
 //
-//   - AIMD, Vegas and gradient limits per upstream need samples: at 79 hosts and 293 upstreams a host
-//     sees one request in 13 s for each. Window is AIMD for all foreign upstreams of a service together.
+//   - AIMD, Vegas and gradient limits per upstream need more samples than a host has, or take heavy-tailed
+//     work for load; package capacity judges upstreams against their peers instead. Window is AIMD for all
+//     foreign upstreams of a service together.
 //   - CoDel sheds by the time in the queue; the queue is at the upstream, where no host sees it. Demand
 //     takes its place: a backlog that the slots can't work off is refused.
 //   - Credits (Breakwater) and probes of load (Prequal) need answers from upstreams, which go to callers.
