--- a/internal/dsr/lending.go
+++ b/internal/dsr/lending.go
@@ -25,7 +25,7 @@
 
 // askForCredits asks other hosts for slots while callers of new flows wait for one.
 func (c *Core) askForCredits(now time.Duration, s *service) {
-	if s.queue.FreeLen() == 0 || c.position.Count <= 1 || !s.asker.Ask(now) {
+	if s.queue.FreeLen() == 0 || !s.asker.Ask(now) {
 		return
 	}
 	// More callers come before the next request.
