--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -14,9 +14,10 @@
 	busyTimeoutMax    = 4 * time.Second
 	busyTimeoutFactor = 4
 	// Where requests wait for slots, it is scheduledBusyFactor times the work of the upstream, at least
-	// scheduledBusyMin: one in a thousand takes longer if the work varies by half of its mean.
-	scheduledBusyMin    = 150 * time.Millisecond
-	scheduledBusyFactor = 6
+	// scheduledBusyMin: one in a hundred takes longer if the work varies by half of its mean. One answer in ten is
+	// not acknowledged, since it has one packet, and must not keep a slot from those who wait.
+	scheduledBusyMin    = 50 * time.Millisecond
+	scheduledBusyFactor = 3
 	// busySearchSize is the number of requests in progress that are looked at for the timeout.
 	busySearchSize = 32
 	// minWork is the least time that a request takes a slot, after the transit is subtracted.
