dsr: judgements without samples expire, and count right when slots change

Cause: the gauges kept counting a slow upstream that got no requests any more, and one whose declared slots changed while its limit was below them. Change: estimates without samples for 30 s are dropped with a log line; a judgement remembers the slots it was made with. Measured: the tests of internal/dsr, internal/dsrhost and internal/capacity pass; TestJudgementWithoutSamplesExpires is new.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -27,8 +27,8 @@
 	kneeWeight = 0.9
 	// minSamples is the number of samples from which on an estimate counts as a peer.
 	minSamples = 3
-	// staleTime is the time without samples after which an estimate says nothing any more.
-	staleTime = 30 * time.Second
+	// StaleTime is the time without samples after which an estimate says nothing any more.
+	StaleTime = 30 * time.Second
 	// slownessHalfLife is the time in which an upstream that is not judged slow loses half of what it seems slower.
 	slownessHalfLife = 2 * time.Second
 	// sameCallerWeight is the weight of a slow answer to the caller of the last slow one: a link that
@@ -144,7 +144,7 @@
 }
 
 func (e *Estimate) observe(now time.Duration, g *Group, slots int, o observation, evidence Evidence) {
-	if e.filter.slots != slots || now-e.updatedAt > staleTime {
+	if e.filter.slots != slots || now-e.updatedAt > StaleTime {
 		e.filter.reset(slots, g.reference)
 		e.slow, e.samples, e.slowSince = false, 0, 0
 	} else {
@@ -204,7 +204,7 @@
 
 // Limit returns the number of requests that the upstream takes well at a time, at most its slots.
 func (e *Estimate) Limit(now time.Duration, _ *Group, slots int) float64 {
-	if e == nil || e.samples == 0 || e.limit >= slots || now-e.updatedAt > staleTime {
+	if e == nil || e.samples == 0 || e.limit >= slots || now-e.updatedAt > StaleTime {
 		return float64(slots)
 	}
 	return float64(e.limit)
@@ -213,7 +213,7 @@
 // Work returns the time that a request takes a slot; zero is unknown. An upstream without samples takes as
 // long as its peers.
 func (e *Estimate) Work(now time.Duration, g *Group) time.Duration {
-	if e == nil || e.samples < minSamples || now-e.updatedAt > staleTime {
+	if e == nil || e.samples < minSamples || now-e.updatedAt > StaleTime {
 		return g.Work()
 	}
 	return e.work
@@ -221,7 +221,7 @@
 
 // Slow reports whether the upstream is judged slower than its peers.
 func (e *Estimate) Slow(now time.Duration) bool {
-	return e != nil && e.slow && now-e.updatedAt <= staleTime
+	return e != nil && e.slow && now-e.updatedAt <= StaleTime
 }
 
 // Slowness returns how many times slower than its peers the upstream is, at least 1. Below a judgement it is in
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -211,7 +211,7 @@
 	require.Equal(t, g.Work(), none.Work(now, &g))
 	require.InDelta(t, 3, none.Limit(now, &g, 3), 0)
 	require.True(t, e.Slow(now))
-	require.False(t, e.Slow(now+staleTime+1))
+	require.False(t, e.Slow(now+StaleTime+1))
 	e.Reset(&g)
 	require.Equal(t, Estimate{}, e)
 }
--- a/internal/dsr/learned.go
+++ b/internal/dsr/learned.go
@@ -37,6 +37,8 @@
 	// service, and no rejections. quickWeight is the weight of one of them.
 	maxQuickShare = 0.02
 	quickWeight   = 0.01
+	// eventJudgement is the message of the log line.
+	eventJudgement = "judgement of the upstream's capacity changed"
 	// maxQuick bounds the quick answers that are kept for returnTime.
 	maxQuick = 64
 )
@@ -73,9 +75,18 @@
 // judgement is what has been learned of an upstream.
 type judgement struct {
 	limit float64
+	// slots is the number of slots at that time.
+	slots int
 	slow  bool
 }
 
+func (j judgement) limited() bool { return j.limit < float64(j.slots) }
+
+// equals reports whether two judgements are the same but for the declared slots.
+func (j judgement) equals(other judgement) bool {
+	return j.slow == other.slow && j.limited() == other.limited() && (!j.limited() || j.limit == other.limit)
+}
+
 func newLearner() learner {
 	return learner{
 		recent: list.New(func(u *upstream) *list.Links[upstream] { return &u.learnedLinks }),
@@ -174,7 +185,7 @@
 }
 
 func (u *upstream) judgement(now time.Duration) judgement {
-	return judgement{limit: u.learnedKnee(now), slow: u.learned.Slow(now)}
+	return judgement{limit: u.learnedKnee(now), slots: u.Slots, slow: u.learned.Slow(now)}
 }
 
 // estimate returns the estimate of an upstream for a new sample.
@@ -203,7 +214,7 @@
 	if u.learned == nil {
 		return
 	}
-	c.learner.count(judgement{float64(u.Slots), false}, u.judged, u.Slots)
+	c.learner.count(judgement{}, u.judged)
 	u.judged = judgement{}
 	c.learner.recent.Remove(u)
 	u.learned.Reset(&u.service.peers)
@@ -211,6 +222,23 @@
 	u.learned = nil
 }
 
+// forgetStale drops the estimates of upstreams that had no samples for long.
+func (c *Core) forgetStale(now time.Duration) {
+	for u := c.learner.recent.First(); u != nil && now-u.learned.UpdatedAt() > capacity.StaleTime; u = c.learner.recent.First() {
+		from := u.judged
+		samples, _ := u.learned.Samples()
+		age := now - u.learned.UpdatedAt()
+		c.forgetCapacity(u)
+		if to := u.judgement(now); !to.equals(from) {
+			c.learner.counts.Changes++
+			c.emit(Record{
+				Event: eventJudgement, Upstream: u.Key, Service: u.Service, Detail: to.name(), FromJudgement: from.name(), Limit: to.limit, FromLimit: from.limit,
+				LearnedWork: u.learnedWork(now), PeerWork: u.service.peers.Reference(), Samples: samples, Evidence: "no samples for long", Source: SourceFlows, Age: age,
+			})
+		}
+	}
+}
+
 // learnAnswer learns from the answer to the request in progress on a flow. If the packet that acknowledged it has
 // data, the answer may have come earlier.
 func (c *Core) learnAnswer(now time.Duration, f *flow, early bool) {
@@ -298,6 +326,7 @@
 		return
 	}
 	c.learner.nextPendingAt = now + pendingInterval
+	c.forgetStale(now)
 	for f := c.cache.busy.First(); f != nil && now-f.busyAt > pendingInterval; f = f.phaseLinks.Next() {
 		u := f.upstream
 		waited := now - f.busyAt - u.zone.transit
@@ -314,26 +343,26 @@
 // noteJudgement records a changed judgement of an upstream. The request that decided was sent at the given time.
 func (c *Core) noteJudgement(now time.Duration, u *upstream, sent time.Duration) {
 	to, from := u.judgement(now), u.judged
-	if from.limit == 0 {
-		from.limit = float64(u.Slots)
-	}
-	if to == from {
+	u.judged = to
+	if to.equals(from) {
 		return
 	}
-	u.judged = to
-	c.learner.count(to, from, u.Slots)
+	if from.slots == 0 {
+		from.limit, from.slots = float64(u.Slots), u.Slots
+	}
+	c.learner.count(to, from)
 	c.learner.counts.Changes++
 	samples, evidence := u.learned.Samples()
 	g := &u.service.peers
 	c.emit(Record{
-		Event: "judgement of the upstream's capacity changed", Upstream: u.Key, Service: u.Service, Detail: to.name(u.Slots), FromJudgement: from.name(u.Slots),
+		Event: eventJudgement, Upstream: u.Key, Service: u.Service, Detail: to.name(), FromJudgement: from.name(),
 		Limit: to.limit, FromLimit: from.limit, LearnedWork: u.learned.Work(now, g), PeerWork: g.Reference(), Samples: samples,
 		Evidence: evidence.String(), Source: SourceFlows, Age: now - sent, Open: u.busy + u.opening,
 	})
 }
 
 // count counts the change of a judgement in the gauges.
-func (l *learner) count(to, from judgement, slots int) {
+func (l *learner) count(to, from judgement) {
 	step := func(is, was bool) int {
 		switch {
 		case is == was:
@@ -344,20 +373,18 @@
 			return -1
 		}
 	}
-	limited := func(j judgement) bool { return j.limit != 0 && j.limit < float64(slots) }
 	l.counts.Slow += step(to.slow, from.slow)
-	l.counts.Limited += step(limited(to), limited(from))
+	l.counts.Limited += step(to.limited(), from.limited())
 }
 
 // name returns the judgement as it appears in logs.
-func (j judgement) name(slots int) string {
-	limited := j.limit < float64(slots)
+func (j judgement) name() string {
 	switch {
-	case j.slow && limited:
+	case j.slow && j.limited():
 		return "slow, with fewer slots"
 	case j.slow:
 		return "slow"
-	case limited:
+	case j.limited():
 		return "fewer slots"
 	default:
 		return "like its peers"
--- a/internal/dsr/learnedflows_test.go
+++ b/internal/dsr/learnedflows_test.go
@@ -79,6 +79,20 @@
 	require.Zero(t, f.core.LearnedCounts().Slow)
 }
 
+// An upstream that nobody asks any more must not be reported as slow for ever.
+func TestJudgementWithoutSamplesExpires(t *testing.T) {
+	f := newFixture(t)
+	u := f.slowUpstream()
+	f.judgements()
+	f.advance(31 * time.Second)
+	f.core.State(f.now)
+	require.Zero(t, f.core.LearnedCounts().Slow)
+	require.Nil(t, u.learned)
+	records := f.judgements()
+	require.Len(t, records, 1)
+	require.Equal(t, []string{"slow", "like its peers", u.Key}, []string{records[0].FromJudgement, records[0].Detail, records[0].Upstream})
+}
+
 // A slow upstream whose work exceeds the latency objective gets one request at a time at most, and an open flow may
 // use its slots all the same.
 func TestLimitOfUpstreamThatAnswersLate(t *testing.T) {
--- a/internal/dsr/state.go
+++ b/internal/dsr/state.go
@@ -111,7 +111,7 @@
 		Status: u.status(), Suspicion: u.suspicion(now), Opening: u.opening, Busy: u.busy, Flows: u.flows,
 		Share: u.share, LastAnswerAgeMs: -1,
 		LearnedLimit: u.learnedLimit(now), LearnedWorkMs: u.learnedWork(now).Seconds() * 1000,
-		Judgement: u.judgement(now).name(u.Slots),
+		Judgement: u.judgement(now).name(),
 	}
 	if u.lastAnswerAt != 0 {
 		s.LastAnswerAgeMs = (now - u.lastAnswerAt).Milliseconds()
