--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -23,6 +23,9 @@
 	usualWeight = 0.5
 	// minSlowness is the least multiple of the reference of the mean work of a slow upstream.
 	minSlowness = 1.5
+	// notedSlowness is the multiple of the work of the peers up to which the work of an upstream that is not judged
+	// slow is chance: estimates from a few dozen answers differ by so much.
+	notedSlowness = 1.25
 	// kneeWeight is the weight of the pairs with a knee below the slots that lowers the limit.
 	kneeWeight = 0.9
 	// minSamples is the number of samples from which on an estimate counts as a peer.
@@ -231,7 +234,7 @@
 	switch {
 	case e.Slow(now) && g.reference > 0:
 		return max(1, float64(e.work)/float64(g.reference))
-	case e == nil || e.samples < minSamples || g.work <= 0 || e.work <= g.work:
+	case e == nil || e.samples < minSamples || g.work <= 0 || float64(e.work) <= notedSlowness*float64(g.work):
 		return 1
 	}
 	return 1 + (float64(e.work)/float64(g.work)-1)*math.Exp2(-float64(now-e.updatedAt)/float64(slownessHalfLife))
--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -14,10 +14,10 @@
 	busyTimeoutMax    = 4 * time.Second
 	busyTimeoutFactor = 4
 	// Where requests wait for slots, it is scheduledBusyFactor times the work of the upstream, at least
-	// scheduledBusyMin: one in a hundred takes longer if the work varies by half of its mean. One answer in ten is
+	// scheduledBusyMin: few take longer if the work varies by half of its mean. One answer in ten is
 	// not acknowledged, since it has one packet, and must not keep a slot from those who wait.
 	scheduledBusyMin    = 50 * time.Millisecond
-	scheduledBusyFactor = 3
+	scheduledBusyFactor = 4
 	// busySearchSize is the number of requests in progress that are looked at for the timeout.
 	busySearchSize = 32
 	// minWork is the least time that a request takes a slot, after the transit is subtracted.
@@ -43,7 +43,7 @@
 // busyTimeout returns when an unanswered request at the upstream stops counting as work in progress. Where
 // requests wait for it, an answer that is not acknowledged keeps them waiting.
 func (u *upstream) busyTimeout(now time.Duration) time.Duration {
-	work := u.learnedWork(now)
+	work := max(u.learnedWork(now), u.service.work.Mean())
 	if !u.service.schedules() || work == 0 {
 		return u.service.busyTimeout()
 	}
