--- a/internal/dsr/apply.go
+++ b/internal/dsr/apply.go
@@ -10,6 +10,7 @@
 
 	"mimosashore.example/mimosashore/internal/directory"
 	"mimosashore.example/mimosashore/internal/loadcontrol"
+	"mimosashore.example/mimosashore/internal/schedule"
 )
 
 // factRemoved is the evidence that an upstream has left.
@@ -23,6 +24,7 @@
 	if ch.Position().Compare(c.directoryPosition) > 0 {
 		c.directoryPosition = ch.Position()
 	}
+	c.cold.beginChange(ch)
 	if ch.Full {
 		c.removeMissing(now, ch)
 		c.fullReadAt = ch.RequestedAt
@@ -50,6 +52,9 @@
 		c.applyConfiguration(now, ch.Configuration)
 	}
 	c.applyEvacuations(now, ch)
+	if ch.Full && c.cold.bound != nil {
+		c.dropAllWarm(now)
+	}
 	if ch.Full {
 		if !c.complete {
 			c.complete, c.tokensKnownAt = true, now+tokensUnknownTime
@@ -146,6 +151,9 @@
 			u.service.sharesStale = true
 		}
 		wasLost := u.lost && d.Era == u.Era
+		if d.Position().Compare(u.Position()) > 0 {
+			c.extendCold(now, u, d.SlowStart)
+		}
 		u.Upstream, u.evacuated = *d, c.isEvacuated(d.Zone)
 		u.unreadable, u.unknownService = false, nil
 		if !wasLost {
@@ -171,6 +179,7 @@
 	if d.SlowStart > 0 {
 		n.slowStartUntil = now + d.SlowStart
 	}
+	c.startCold(now, n)
 	if u != nil {
 		u.replacedBy = n
 	}
@@ -234,7 +243,7 @@
 func (c *Core) serviceOf(name string) *service {
 	s := c.services[name]
 	if s == nil {
-		s = &service{spill: loadcontrol.NewWindow()}
+		s = &service{name: name, spill: loadcontrol.NewWindow(), queue: schedule.New[*waitingRequest]()}
 		c.services[name] = s
 	}
 	return s
@@ -268,6 +277,7 @@
 // unindexUpstream removes a gone upstream from the list of its service. Its token still maps to it,
 // unless a live upstream shares the token.
 func (c *Core) unindexUpstream(u *upstream) {
+	c.forgetCapacity(u)
 	s := c.serviceOf(u.Service)
 	if i := slices.Index(s.upstreams, u); i >= 0 {
 		s.upstreams = slices.Delete(s.upstreams, i, i+1)
--- a/internal/dsr/choose.go
+++ b/internal/dsr/choose.go
@@ -13,8 +13,6 @@
 const (
 	// slowStartFactor is the assumed slowdown of an upstream during slow start.
 	slowStartFactor = 1.6
-	// maxLatencyHalfLives is the age, in half-lives, beyond which latency samples are ignored.
-	maxLatencyHalfLives = 8
 	// minFlowLoad is the least load of an open flow, in requests, when upstreams are compared: about
 	// one request of 50 ms per second.
 	minFlowLoad = 0.05
@@ -68,7 +66,7 @@
 	ch.repeatLoad = s.repeatLoad(now)
 	c.rotation++
 	start := int(((c.rotation * goldenRatioStep) >> 32) % uint64(len(s.upstreams)))
-	spills := s.spill.Admits(now, s.spilled, ch.class)
+	spills := s.spill.Admits(now, s.spilled, s.spillClass(ch.class))
 	if len(s.upstreams) > fullSearchSize {
 		for _, u := range s.own {
 			c.consider(now, &ch, r, u, spills)
@@ -103,7 +101,7 @@
 	if suspect {
 		ch.suspect++
 	}
-	if !admits(now, ch, u, r.LatencyObjective, spills) {
+	if !c.admitsCold(now, u) || !c.admits(now, ch, u, r.LatencyObjective, spills) {
 		if !suspect {
 			ch.full++
 		}
@@ -115,20 +113,31 @@
 }
 
 // admits reports whether another flow may be opened at an upstream.
-func admits(now time.Duration, ch *choice, u *upstream, objective time.Duration, spills bool) bool {
+func (c *Core) admits(now time.Duration, ch *choice, u *upstream, objective time.Duration, spills bool) bool {
 	s := ch.state
-	slots := u.share * float64(u.Slots)
-	if u.share == 0 {
+	share := u.placementShare()
+	if s.schedules() {
+		if share == 0 {
+			if u.hasCredit(now) {
+				return true
+			}
+			return spills && !c.hasOwn(now, s) && float64(u.busy+u.opening) < u.learnedLimit(now)
+		}
+		return c.hasRoom(now, s, u) && c.isWorthwhile(now, s, u, ch.class)
+	}
+	limit := u.learnedLimit(now)
+	slots := share * limit
+	if share == 0 {
 		if !spills {
 			return false
 		}
-		slots = float64(u.Slots)
+		slots = limit
 	}
 	open := float64(u.busy + u.opening)
 	if !ch.class.Urgent {
 		open += ch.repeatLoad * float64(u.flows-u.busy)
 	}
-	work := time.Duration(float64(s.work.Mean()) * u.slowdown(now, s))
+	work := u.placementWork(now)
 	return u.pacer.Admits(now, open, loadcontrol.Limit(slots, work, objective), ch.class, work)
 }
 
@@ -138,13 +147,13 @@
 	switch {
 	case u.Zone != c.zone:
 		load += crossZoneLoad
-	case u.share == 0:
+	case u.placementShare() == 0:
 		load += foreignLoad
 	default:
 		// The other hosts that share the upstream send it as much in proportion.
-		load /= u.share
+		load /= u.placementShare()
 	}
-	cost := (load + 1) * u.slowdown(now, ch.state) / float64(u.Slots)
+	cost := u.learnedCost(now, load, ch.class)
 	if suspect {
 		cost += suspectCost
 	}
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -36,6 +36,8 @@
 	format   Format
 	cache    flowCache
 	waiters  waiters
+	waiting  waiting
+	learner  learner
 	unrouted unrouted
 
 	byKey map[string]*upstream
@@ -100,7 +102,9 @@
 	// have upstreams in such zones only.
 	evacuations       map[string]evacuation
 	evacuatedServices int
+	cold              coldControl
 
+	asks    []Ask
 	records []Record
 	samples []Sample
 	// resets holds flows to reset other than that of the current packet.
@@ -123,6 +127,8 @@
 		zones:         make(map[string]*zone),
 		routes:        make(map[netip.AddrPort]*route),
 		waiters:       newWaiters(),
+		waiting:       newWaiting(),
+		learner:       newLearner(),
 		unrouted:      newUnrouted(),
 		unknownTokens: make(map[Token]time.Duration),
 		checks:        make(map[uint64]*check),
@@ -172,7 +178,10 @@
 		c.declared[name] = true
 	}
 	for _, s := range c.services {
-		s.latencyObjective, s.lowestPriority = 0, 0
+		s.latencyObjective, s.deadline, s.lowestPriority, s.coldStart = 0, 0, 0, nil
+	}
+	for name, cold := range n.ColdStarts {
+		c.serviceOf(name).coldStart = &cold
 	}
 	for i := range n.Routes {
 		r := &route{Route: n.Routes[i]}
@@ -196,25 +205,30 @@
 		c.emit(Record{Event: "packet dropped", Action: Drop, Detail: err.Error()})
 		return p, Effect{Action: Drop, Reason: ReasonMalformed}
 	}
+	var e Effect
 	if p.SYN {
-		return p, c.handleSYN(now, p)
+		if p.SYNRetransmits == 0 {
+			c.callerReturned(now, p)
+		}
+		e = c.handleSYN(now, p)
+	} else {
+		e = c.routePacket(now, p)
 	}
-	return p, c.routePacket(now, p)
+	c.serveWaiting(now)
+	return p, e
 }
 
 // advance handles timeouts that have expired: of lapsed registrations, handshakes, requests in
 // progress and idle flows.
 func (c *Core) advance(now time.Duration) {
 	c.expireUpstreams(now)
+	c.advanceLearning(now)
 	handshakeTimeout := c.linkMonitor.handshakeTimeout()
 	for f := c.cache.opening.First(); f != nil && now-f.openedAt > handshakeTimeout; f = c.cache.opening.First() {
 		c.cache.setPhase(now, f, phaseOverdue)
 		c.onHandshakeTimeout(now, f)
 	}
-	// A flow behind one of a service with a longer timeout expires with that one.
-	for f := c.cache.busy.First(); f != nil && now-f.busyAt > f.upstream.service.busyTimeout(); f = c.cache.busy.First() {
-		c.cache.setPhase(now, f, phaseIdle)
-	}
+	c.expireBusy(now)
 	c.cache.expire(now)
 	c.waiters.expire(now)
 	c.unrouted.expire(now)
@@ -241,13 +255,16 @@
 		}
 		f.synRetransmits++
 		if c.keepsUpstream(now, f) {
-			if f.upstream.evacuated {
-				return Effect{Action: Drop, Reason: ReasonEvacuated}
-			}
-			return c.forwardTo(f.upstream, ReasonSYNRetransmit)
+			return c.repeatOpening(now, f.upstream)
 		}
 		reason, moved = ReasonMoved, f.moveEvidence(now)
 	}
+	if w := c.waiting.byKey[key]; w != nil {
+		if w.upstream == nil && w.packets[0].header.Seq == p.Seq {
+			return Effect{Action: Drop, Reason: ReasonWaitingCopy}
+		}
+		c.dropWaiting(w)
+	}
 	choice := c.choose(now, r, p)
 	s := choice.state
 	if choice.upstream == nil {
@@ -269,6 +286,9 @@
 	}
 	f.upstream, f.route = choice.upstream, r
 	f.upstream.pacer.AdmittedAt = now
+	if f.upstream.hasCredit(now) {
+		f.upstream.credits--
+	}
 	if f.upstream.share == 0 {
 		s.spill.AdmittedAt = now
 	}
@@ -276,7 +296,7 @@
 	c.cache.touch(now, f)
 	c.cache.setPhase(now, f, phaseOpening)
 	c.emitOpening("flow opened", now, p, r, choice, reason)
-	return c.forwardTo(choice.upstream, reason)
+	return c.forwardOpening(now, choice.upstream, reason)
 }
 
 // handleNotPlaced decides on a SYN for which there is no upstream. If all are at their limits, the
@@ -286,8 +306,12 @@
 	if e, ok := c.rejectEvacuated(now, p, r, f, ch); ok {
 		return e
 	}
-	if ch.reason == ReasonPaced && p.SYNRetransmits == 0 && f == nil {
-		if ch.state.overloaded(now, ch.class) {
+	scheduled := ch.state != nil && ch.state.schedules()
+	if ch.reason == ReasonPaced && f == nil && scheduled && !c.waiting.draining {
+		return c.waitOrReject(now, p, r, ch)
+	}
+	if ch.reason == ReasonPaced && !scheduled && p.SYNRetransmits == 0 && f == nil {
+		if c.overloaded(now, ch.state, ch.class) {
 			ch.state.refused(now, ch.class)
 			c.emitOpening("flow refused", now, p, r, ch, ReasonOverloaded)
 			return Effect{Action: Reset, Reason: ReasonOverloaded}
@@ -317,7 +341,7 @@
 	case f.phase == phaseOpening:
 		return true
 	default:
-		return u.usable() && !u.suspect(now)
+		return u.usable() && !u.suspect(now) && c.admitsCold(now, u)
 	}
 }
 
@@ -327,7 +351,7 @@
 		Age: now - c.storeAnsweredAt, Considered: ch.considered, Suspect: ch.suspect,
 	}
 	if s := ch.state; s != nil && ch.upstream == nil {
-		rec.Waiting, rec.Demand, rec.Slots, rec.Work = s.waiting, s.demand.Rate(now), s.ownSlots, s.work.Mean()
+		rec.Waiting, rec.Demand, rec.Slots, rec.Work = s.waiting+s.queue.Len(), s.demand.Rate(now), c.answeringSlots(now, s), s.work.Mean()
 	}
 	if u := ch.upstream; u != nil {
 		rec.Upstream, rec.Token, rec.Era, rec.Revision, rec.To = u.Key, u.token, uint64(u.Era), uint64(u.Revision), u.Addr
@@ -382,6 +406,14 @@
 	}
 	f.route = c.routes[p.Service]
 	c.cache.touch(now, f)
+	if e, held := c.holdRequest(now, f, p); held {
+		if p.HasAck {
+			acknowledgement := *p
+			acknowledgement.Length, acknowledgement.FIN = 0, false
+			c.observe(now, f, &acknowledgement)
+		}
+		return e
+	}
 	c.observe(now, f, p)
 	if f.waitsInVain(now) {
 		unanswered := now - f.progressAt
--- a/internal/dsr/flows.go
+++ b/internal/dsr/flows.go
@@ -68,10 +68,19 @@
 	synRetransmits int
 	// spilled is set while the request is counted in the spilled ones of the service.
 	spilled bool
+	// countedAsked is set if the next request is counted as demand already.
+	countedAsked bool
+	// expected is set from the handshake to the first request, which has its slot already.
+	expected bool
 	// answered is set once a request on the flow was answered.
 	answered bool
 	// unqueued is set if the upstream had a free slot when the request in progress was seen.
 	unqueued bool
+	// inProgress is the number of requests in progress at the upstream when the request in progress was seen, with it;
+	// zero is unknown. resentAt is when a packet of it was last sent again, counted how long it was unanswered when that
+	// was taken as evidence; zero is never.
+	inProgress        int
+	resentAt, counted time.Duration
 	// pending is set while a request has no answer, also after phaseBusy.
 	pending bool
 	// resetAt is when the flow was reset without a packet of its own; zero is never. It no longer counts at its
@@ -162,6 +171,10 @@
 		u.service.flows--
 	}
 	f.phase = to
+	f.expected = f.expected && to == phaseBusy
+	if (to == phaseOpening || to == phaseBusy) && u.busy+u.opening == 0 {
+		u.busySince = now
+	}
 	switch to {
 	case phaseOpening:
 		f.openedAt = now
@@ -174,6 +187,7 @@
 		c.busy.Push(f)
 		f.spilled = u.share == 0
 		f.unqueued = u.hasFreeSlot()
+		f.inProgress, f.resentAt, f.counted = u.inProgress(), 0, 0
 		u.busy++
 		u.flows++
 		u.service.flows++
--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -13,10 +13,43 @@
 	busyTimeoutMin    = 500 * time.Millisecond
 	busyTimeoutMax    = 4 * time.Second
 	busyTimeoutFactor = 4
+	// Where requests wait for slots, it is scheduledBusyFactor times the work of the upstream, at least
+	// scheduledBusyMin: few take longer if the work varies by half of its mean. One answer in ten is
+	// not acknowledged, since it has one packet, and must not keep a slot from those who wait.
+	scheduledBusyMin    = 50 * time.Millisecond
+	scheduledBusyFactor = 4
+	// busySearchSize is the number of requests in progress that are looked at for the timeout.
+	busySearchSize = 32
 	// minWork is the least time that a request takes a slot, after the transit is subtracted.
 	minWork = time.Millisecond
 )
 
+// expireBusy stops counting requests as work in progress whose answers were not acknowledged. Those behind many with
+// a longer timeout expire with these.
+func (c *Core) expireBusy(now time.Duration) {
+	next := c.cache.busy.First()
+	for range busySearchSize {
+		f := next
+		if f == nil {
+			return
+		}
+		next = f.phaseLinks.Next()
+		if now-f.busyAt > f.upstream.busyTimeout(now) {
+			c.cache.setPhase(now, f, phaseIdle)
+		}
+	}
+}
+
+// busyTimeout returns when an unanswered request at the upstream stops counting as work in progress. Where
+// requests wait for it, an answer that is not acknowledged keeps them waiting.
+func (u *upstream) busyTimeout(now time.Duration) time.Duration {
+	work := max(u.learnedWork(now), u.service.work.Mean())
+	if !u.service.schedules() || work == 0 {
+		return u.service.busyTimeout()
+	}
+	return min(max(scheduledBusyMin, scheduledBusyFactor*work), busyTimeoutMax)
+}
+
 // observe updates the state of the flow and its upstream from a packet other than a SYN.
 func (c *Core) observe(now time.Duration, f *flow, p *Packet) {
 	u := f.upstream
@@ -28,10 +61,19 @@
 		}
 		f.lastAck, f.receivedSeq = p.Ack, p.Seq
 		f.handshake = now - f.openedAt
+		u.zone.noteHandshake(f.handshake)
 		c.samples = append(c.samples, Sample{SampleHandshake, f.handshake})
 		c.onAnswer(now, f.openedAt, u)
 		f.progressAt = now
-		c.cache.setPhase(now, f, phaseIdle)
+		if f.expected = u.service.schedules(); f.expected {
+			// The first request follows at once. Its slot is kept meanwhile.
+			c.cache.setPhase(now, f, phaseBusy)
+		} else {
+			c.cache.setPhase(now, f, phaseIdle)
+		}
+	}
+	if p.RST || p.FIN {
+		defer c.flowClosed(f)
 	}
 	if p.RST {
 		c.cache.setPhase(now, f, phaseClosed)
@@ -45,9 +87,10 @@
 			f.resetAt = 0
 			c.cache.setPhase(now, f, phaseIdle)
 		}
-		if f.phase == phaseBusy {
+		if f.phase == phaseBusy && !f.expected {
 			f.answered = true
 			c.addLatencySample(now, f, now-f.busyAt)
+			c.learnAnswer(now, f, p.Length > 0)
 			c.cache.setPhase(now, f, phaseIdle)
 		}
 	}
@@ -67,7 +110,8 @@
 		return
 	}
 	f.nextSeq, f.pending = nextSeq, true
-	if f.phase == phaseIdle {
+	if f.phase == phaseIdle || f.expected {
+		f.expected = false
 		c.observeRequest(now, f)
 		c.cache.setPhase(now, f, phaseBusy)
 		f.progressAt = now
@@ -87,6 +131,11 @@
 	if f.answered {
 		s.repeats.Asked(now)
 	}
+	if f.countedAsked {
+		// The request waited and was counted when it arrived.
+		f.countedAsked = false
+		return
+	}
 	if f.upstream.share > 0 || len(s.own) == 0 {
 		s.asked(now, loadcontrol.Class{Urgent: f.route != nil && f.route.Priority < s.lowestPriority})
 	}
@@ -96,6 +145,7 @@
 // packets and a queue delays answers, but if a reset can help the caller the upstream is checked.
 func (c *Core) observeRetransmit(now time.Duration, f *flow) {
 	u := f.upstream
+	f.resentAt = now
 	if f.pending && (u.gone || f.route != nil && f.route.Idempotent) {
 		c.checkUpstream(now, u)
 	}
@@ -106,15 +156,17 @@
 	u := f.upstream
 	c.samples = append(c.samples, Sample{SampleAnswer, d})
 	seconds := d.Seconds()
-	u.latency = ewma(u.latency, seconds)
-	u.latencyAt = now
 	s := u.service
 	// The mean of a service covers more samples than that of one upstream.
 	s.latency = ewma(s.latency, seconds)
-	if u.share == 0 {
+	switch {
+	case u.share != 0:
+	case s.schedules():
+		s.spill.AddDelay(now, max(d-f.handshake, minWork), s.work.Mean())
+	default:
 		s.spill.AddLatency(now, d, s.work.Mean(), s.latencyObjective)
 	}
-	if f.unqueued && !c.linkMonitor.recentlyDegraded(now) {
+	if f.unqueued && !u.learned.Slow(now) && !c.linkMonitor.recentlyDegraded(now) {
 		s.work.Add(max(d-f.handshake, minWork))
 	}
 }
--- a/internal/dsr/record.go
+++ b/internal/dsr/record.go
@@ -36,12 +36,21 @@
 	// Open the open work of the selected one. For a configuration they are the numbers of its
 	// routes, of its skipped routes and of the routes that it replaces.
 	Considered, Suspect, Open int
-	// Waiting is the number of callers that wait for an upstream of the service.
-	Waiting int
+	// Waiting is the number of requests that wait for an upstream of the service, Rank the number of those that
+	// went before the request, and Waited how long it waited.
+	Waiting, Rank int
+	Waited        time.Duration
 	// Demand is the number of requests per second that are asked of the Slots of this host, and Work
 	// the time that a request takes one of them.
 	Demand, Slots float64
 	Work          time.Duration
+	// Samples is the number of samples behind a judgement of an upstream's capacity, which changed from FromJudgement
+	// and FromLimit to Detail and Limit; zero for other records. LearnedWork is the time that a request takes a slot of the
+	// upstream, PeerWork that at its peers.
+	Samples               int
+	FromJudgement         string
+	Limit, FromLimit      float64
+	LearnedWork, PeerWork time.Duration
 }
 
 // Routine reports whether the record is of a forwarded packet rather than of a change or a refusal.
@@ -56,6 +65,8 @@
 	SampleHandshake SampleKind = iota
 	// SampleAnswer is the time from a request to its answer.
 	SampleAnswer
+	// SampleWait is the time that a request waited at this host.
+	SampleWait
 	// SampleHandshakeTimeout is the time from a SYN to the timeout of its handshake.
 	SampleHandshakeTimeout
 )
--- a/internal/dsr/service.go
+++ b/internal/dsr/service.go
@@ -5,11 +5,15 @@
 	"slices"
 	"time"
 
+	"mimosashore.example/mimosashore/internal/capacity"
+	"mimosashore.example/mimosashore/internal/directory"
 	"mimosashore.example/mimosashore/internal/loadcontrol"
+	"mimosashore.example/mimosashore/internal/schedule"
 )
 
 // service is the state of a service.
 type service struct {
+	name      string
 	upstreams []*upstream
 	// own holds the upstreams that this host is responsible for, at least in part, and ownSlots the
 	// number of their slots in proportion. In a zone without upstreams, own is empty and ownSlots an
@@ -17,12 +21,18 @@
 	own         []*upstream
 	ownSlots    float64
 	sharesStale bool
+	// coldStart is the cold start that the configuration declares; nil if it declares none.
+	coldStart *directory.ColdStart
 	// evacuated is set while all zones that have upstreams of the service are evacuated.
 	evacuated bool
 	// latency is the mean time from request to answer, in seconds; zero is unknown.
 	latency float64
 	// work is the time from request to answer at upstreams with a free slot, without the transit.
 	work loadcontrol.Work
+	// peers is what the upstreams have in common, against which the capacity of each is judged.
+	peers capacity.Group
+	// quickShare is the part of the answers to single requests that come much earlier than usual.
+	quickShare float64
 	// flows is the number of open flows of this host, repeats the demand of their requests after the
 	// first.
 	flows   int
@@ -31,6 +41,19 @@
 	// the priority of the least urgent one.
 	latencyObjective time.Duration
 	lowestPriority   int
+	// deadline is the longest deadline of the routes to the service; zero if a route declares none, or no
+	// latency objective.
+	deadline time.Duration
+	// urgentWaiting is the number of urgent requests in the queue.
+	urgentWaiting int
+	// coldUpstreams holds those that may be cold.
+	coldUpstreams []*upstream
+	// lined holds the upstreams for which requests on open flows wait.
+	lined []*upstream
+	// asker decides when to ask other hosts for slots.
+	asker loadcontrol.Asker
+	// queue holds the requests that wait at this host.
+	queue *schedule.Queue[*waitingRequest]
 
 	// spill limits spilled, the number of requests of this host at upstreams that others are
 	// responsible for.
@@ -48,6 +71,7 @@
 		s.latencyObjective = r.LatencyObjective
 	}
 	s.lowestPriority = max(s.lowestPriority, r.Priority)
+	s.deadline = max(s.deadline, r.Timeout)
 }
 
 // repeatLoad returns the mean number of requests in progress on an open flow that were not its first.
@@ -77,14 +101,22 @@
 	}
 }
 
+// rejected records that a request that was recorded as asked is rejected.
+func (s *service) rejected(now time.Duration, class loadcontrol.Class) {
+	s.demand.Rejected(now)
+	if class.Urgent {
+		s.urgentDemand.Rejected(now)
+	}
+}
+
 // overloaded reports whether a caller that has to wait would not be served. Urgent callers compete
 // with urgent ones only.
-func (s *service) overloaded(now time.Duration, class loadcontrol.Class) bool {
-	d := &s.demand
+func (c *Core) overloaded(now time.Duration, s *service, class loadcontrol.Class) bool {
+	d, waiting := &s.demand, s.waiting+s.queue.Len()
 	if class.Urgent {
-		d = &s.urgentDemand
+		d, waiting = &s.urgentDemand, s.waiting+s.urgentWaiting
 	}
-	return d.Exceeds(now, s.ownSlots, s.work.Mean(), s.waiting)
+	return d.Exceeds(now, c.answeringSlots(now, s), s.work.Mean(), waiting)
 }
 
 // SetPosition sets the place of this host among the hosts of its zone.
@@ -119,16 +151,34 @@
 		}
 	}
 	if len(local) == 0 {
-		s.ownSlots = c.partOfAllSlots(s)
+		s.ownSlots = c.partOfAllSlots(s, (*upstream).usable)
+	}
+}
+
+// answeringSlots returns the slots that this host is responsible for at upstreams that are not suspect. If
+// there are none, it is this host's part of all others.
+func (c *Core) answeringSlots(now time.Duration, s *service) float64 {
+	if !s.schedules() {
+		return s.ownSlots
+	}
+	slots := 0.0
+	for _, u := range s.own {
+		if !u.suspect(now) && c.coldLeft(now, u) == 0 {
+			slots += u.share * u.learnedLimit(now)
+		}
+	}
+	if slots > 0 {
+		return slots
 	}
+	return c.partOfAllSlots(s, func(u *upstream) bool { return u.usable() && !u.suspect(now) && c.coldLeft(now, u) == 0 })
 }
 
-// partOfAllSlots returns this host's part of the slots of a service if each zone, and each host of it,
-// had an equal one.
-func (c *Core) partOfAllSlots(s *service) float64 {
+// partOfAllSlots returns this host's part of the slots of a service at the upstreams that are accepted, if
+// each zone, and each host of it, had an equal one.
+func (c *Core) partOfAllSlots(s *service, accepted func(*upstream) bool) float64 {
 	slots := 0
 	for _, u := range s.upstreams {
-		if u.usable() {
+		if accepted(u) {
 			slots += u.Slots
 		}
 	}
--- a/internal/dsr/state.go
+++ b/internal/dsr/state.go
@@ -59,8 +59,16 @@
 	Busy      int    `json:"busy"`
 	Flows     int    `json:"flows"`
 	// Share is the part of the upstream that this host is responsible for.
-	Share     float64 `json:"share"`
-	LatencyMs float64 `json:"latency_ms"`
+	Share float64 `json:"share"`
+	// ColdMs is how long the upstream stays cold, ColdOwned is set if this host opens its flows meanwhile.
+	ColdMs    int64 `json:"cold_ms,omitempty"`
+	ColdOwned bool  `json:"cold_owned,omitempty"`
+	// LearnedLimit is the number of requests that the upstream takes well at a time, LearnedWorkMs the
+	// time that one takes then.
+	LearnedLimit  float64 `json:"learned_limit"`
+	LearnedWorkMs float64 `json:"learned_work_ms"`
+	// Judgement is how the capacity compares with that of the peers.
+	Judgement string `json:"judgement"`
 	// LastAnswerAgeMs is the time since the upstream last answered; -1 if it never has.
 	LastAnswerAgeMs int64 `json:"life_ms"`
 }
@@ -92,7 +100,7 @@
 	}
 	slices.SortFunc(s.Services, func(a, b ServiceState) int { return cmp.Compare(a.Name, b.Name) })
 	for _, u := range c.byKey {
-		s.Upstreams = append(s.Upstreams, u.state(now))
+		s.Upstreams = append(s.Upstreams, c.upstreamState(now, u))
 	}
 	for _, u := range c.goneList {
 		s.Upstreams = append(s.Upstreams, u.state(now))
@@ -107,7 +115,9 @@
 	s := UpstreamState{
 		Key: u.Key, Service: u.Service, Zone: u.Zone, To: u.Addr.String(), Token: u.token, Era: uint64(u.Era), Revision: uint64(u.Revision),
 		Status: u.status(), Suspicion: u.suspicion(now), Opening: u.opening, Busy: u.busy, Flows: u.flows,
-		Share: u.share, LatencyMs: u.latency * 1000, LastAnswerAgeMs: -1,
+		Share: u.share, LastAnswerAgeMs: -1,
+		LearnedLimit: u.learnedLimit(now), LearnedWorkMs: u.learnedWork(now).Seconds() * 1000,
+		Judgement: u.judgement(now).name(),
 	}
 	if u.lastAnswerAt != 0 {
 		s.LastAnswerAgeMs = (now - u.lastAnswerAt).Milliseconds()
--- a/internal/dsrhost/host.go
+++ b/internal/dsrhost/host.go
@@ -57,12 +57,18 @@
 	events  chan feedEvent
 	// stateRequests carries requests for the state to the core's goroutine.
 	stateRequests chan chan *dsr.State
-	replica       *replica.Replica
-	translator    *translator
-	feed          *feed
-	checker       *checker
+	// explainRequests carries requests for explanations to it.
+	explainRequests chan explainRequest
+	// stopWaits requests that all waits end; the channel that it carries is closed when they have.
+	stopWaits  chan chan struct{}
+	replica    *replica.Replica
+	translator *translator
+	feed       *feed
+	checker    *checker
 	// peer is nil if the host has no control address.
 	peer *dsrpeer.Peer
+	// credits is nil if the host does not exchange free slots with others.
+	credits *dsrpeer.Credits
 }
 
 // packet is a received packet queued for the core.
@@ -76,13 +82,15 @@
 // New returns a host whose listeners are open.
 func New(ctx context.Context, d Dependencies) (*Host, error) {
 	h := &Host{
-		deps:          d,
-		settings:      d.Settings,
-		log:           logging.ForComponent(d.Logger, "host"),
-		started:       time.Now(),
-		packets:       ring.New[packet](packetRingSize),
-		events:        make(chan feedEvent, feedQueueSize),
-		stateRequests: make(chan chan *dsr.State),
+		deps:            d,
+		settings:        d.Settings,
+		log:             logging.ForComponent(d.Logger, "host"),
+		started:         time.Now(),
+		packets:         ring.New[packet](packetRingSize),
+		events:          make(chan feedEvent, feedQueueSize),
+		stateRequests:   make(chan chan *dsr.State),
+		explainRequests: make(chan explainRequest),
+		stopWaits:       make(chan chan struct{}),
 	}
 	h.stats = newStats(d.LogOutput)
 	h.checker = newChecker(h.elapsed)
@@ -127,6 +135,12 @@
 		}
 		h.feed.delegated, h.feed.greeted = h.peer.Delegated, h.peer.Greeted()
 		h.stats.registerPeer(h.peer)
+		if s.Credits.IsValid() {
+			if h.credits, err = dsrpeer.ListenCredits(h.peer, s.Credits, logging.ForComponent(h.deps.Logger, "credits")); err != nil {
+				return err
+			}
+			h.stats.registerCredits(h.credits)
+		}
 	}
 	h.sockets, err = netio.Listen(ctx, s.Data, netio.Options{Readers: 1, Batch: 1})
 	return err
@@ -142,6 +156,9 @@
 	if h.peer != nil {
 		h.peer.Close()
 	}
+	if h.credits != nil {
+		h.credits.Close()
+	}
 	if h.sockets != nil {
 		h.sockets.Close()
 	}
@@ -169,7 +186,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h.log.Info("started", zap.Duration("stop_timeout", h.settings.StopTimeout), zap.Duration("apply_within", h.settings.ApplyWithin), zap.Duration("evacuate_within", h.settings.EvacuateWithin), zap.String("name", h.settings.Name), zap.String("zone", h.settings.Zone), zap.Stringer("data", h.settings.Data), zap.Stringer("store", h.settings.Store))
-	failures := make(chan error, 4)
+	failures := make(chan error, 5)
 	var tasks sync.WaitGroup
 	tasks.Go(func() { h.feed.run(ctx) })
 	tasks.Go(func() { h.feed.runConfirmations(ctx) })
@@ -184,6 +201,9 @@
 		tasks.Go(func() { h.peer.SendHellos(ctx) })
 		tasks.Go(func() { h.peer.Follow(ctx) })
 	}
+	if h.credits != nil {
+		tasks.Go(func() { failures <- h.credits.Run(ctx) })
+	}
 	var err error
 	select {
 	case <-ctx.Done():
@@ -204,6 +224,7 @@
 	wait := min(rotationExitTime, max(h.settings.StopTimeout-stopReserve, 0))
 	h.log.Info("planned stop begins", zap.Duration("forwarding_for", wait))
 	sleep(ctx, wait)
+	h.stopWaiting(ctx)
 }
 
 // readPackets reads packets and queues them for the core. If the ring is full, they
--- a/internal/dsrhost/settings.go
+++ b/internal/dsrhost/settings.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"mimosashore.example/mimosashore/internal/directory"
+	"mimosashore.example/mimosashore/internal/loadcontrol"
 	"mimosashore.example/mimosashore/internal/store"
 )
 
@@ -26,6 +27,8 @@
 	Data    netip.AddrPort
 	Ready   netip.AddrPort
 	Control netip.AddrPort
+	// Credits is the address for requests for free slots between hosts; not used if it isn't valid.
+	Credits netip.AddrPort
 	// Metrics is the address of the metrics and the state of the host; not served if it isn't valid.
 	Metrics netip.AddrPort
 	// Contacts are control addresses of other hosts for discovery; some may be out of date.
@@ -39,6 +42,8 @@
 	// EvacuateWithin is the longest allowed time from the write of an evacuation until it is in force.
 	// Zero means that evacuations are not read.
 	EvacuateWithin time.Duration
+	// ColdBound bounds the opening packets to cold upstreams; nil if they are not bounded.
+	ColdBound *loadcontrol.ColdBound
 }
 
 // distributeWithin returns the strictest bound on the time in which a write of the operators is in force.
--- a/internal/dsrhost/stats.go
+++ b/internal/dsrhost/stats.go
@@ -18,12 +18,20 @@
 	received, ringFull                   *metrics.Counter
 	sendFailed, malformedItems           *metrics.Counter
 	handshakeTimeouts, waitingFlowResets *metrics.Counter
-	handshakes, answers                  *metrics.Histogram
+	creditsLent, creditsBorrowed         *metrics.Counter
+	handshakes, answers, waits           *metrics.Histogram
 	packets                              map[dsr.Effect]*metrics.Counter
 	// checks counts checks of upstreams by what they say.
 	checks                           map[dsr.CheckOutcome]*metrics.Counter
 	flows, version, configurationAge atomic.Int64
 	evacuations                      evacuationGauges
+	cold                             coldGauges
+	// waiting and waitingBytes are the requests that wait and the bytes of their packets.
+	waiting, waitingBytes atomic.Int64
+	// slowUpstreams and limitedUpstreams are the upstreams that are judged slow, and to take fewer requests than they have
+	// slots.
+	slowUpstreams, limitedUpstreams atomic.Int64
+	judgementChanges, sheds         *metrics.Counter
 }
 
 // Values of the metric label "op" for calls to the store.
@@ -47,13 +55,22 @@
 		handshakeTimeouts: set.NewCounter("mimosashore_dsr_unfinished_handshakes_total"),
 		handshakes:        set.NewHistogram("mimosashore_dsr_handshake_seconds"),
 		answers:           set.NewHistogram("mimosashore_dsr_answer_seconds"),
+		creditsLent:       set.NewCounter("mimosashore_dsr_credits_lent_total"),
+		creditsBorrowed:   set.NewCounter("mimosashore_dsr_credits_borrowed_total"),
+		waits:             set.NewHistogram("mimosashore_dsr_wait_seconds"),
+		judgementChanges:  set.NewCounter("mimosashore_dsr_capacity_changes_total"),
+		sheds:             set.NewCounter("mimosashore_dsr_seen_rejections_total"),
 		packets:           make(map[dsr.Effect]*metrics.Counter),
 	}
 	s.checks = make(map[dsr.CheckOutcome]*metrics.Counter)
 	for _, o := range dsr.CheckOutcomes() {
 		s.checks[o] = set.NewCounter(fmt.Sprintf("mimosashore_dsr_checks_total{outcome=%q}", o))
 	}
+	set.NewGauge("mimosashore_dsr_slow_upstreams", func() float64 { return float64(s.slowUpstreams.Load()) })
+	set.NewGauge("mimosashore_dsr_limited_upstreams", func() float64 { return float64(s.limitedUpstreams.Load()) })
 	set.NewGauge("mimosashore_dsr_flows", func() float64 { return float64(s.flows.Load()) })
+	set.NewGauge("mimosashore_dsr_waiting_requests", func() float64 { return float64(s.waiting.Load()) })
+	set.NewGauge("mimosashore_dsr_waiting_bytes", func() float64 { return float64(s.waitingBytes.Load()) })
 	set.NewGauge("mimosashore_dsr_configuration_age_seconds", func() float64 { return time.Duration(s.configurationAge.Load()).Seconds() })
 	set.NewGauge("mimosashore_dsr_configuration_version", func() float64 { return float64(s.version.Load()) })
 	if lines != nil {
@@ -81,6 +98,15 @@
 	}
 }
 
+// registerCredits registers the gauges of the exchange of free slots.
+func (s *stats) registerCredits(c *dsrpeer.Credits) {
+	for kind, count := range map[string]*atomic.Uint64{
+		"asked": &c.Stats.Asked, "received": &c.Stats.Received, "answered": &c.Stats.Answered, "rejected": &c.Stats.Rejected, "overflow": &c.Stats.Overflows,
+	} {
+		s.set.NewGauge(fmt.Sprintf("mimosashore_dsr_credit_messages{kind=%q}", kind), func() float64 { return float64(count.Load()) })
+	}
+}
+
 // countStoreCall counts a call to the store by operation and result.
 func (s *stats) countStoreCall(op string, err error) {
 	result := "answered"
@@ -109,6 +135,8 @@
 			s.handshakes.Update(x.Duration.Seconds())
 		case dsr.SampleAnswer:
 			s.answers.Update(x.Duration.Seconds())
+		case dsr.SampleWait:
+			s.waits.Update(x.Duration.Seconds())
 		case dsr.SampleHandshakeTimeout:
 			s.handshakeTimeouts.Inc()
 		}
--- /dev/null
+++ b/internal/loadcontrol/credit.go
@@ -0,0 +1,92 @@
+package loadcontrol
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// CreditTime is how long a credit may be used, counted from the request for it. Callers that come before the
+	// next request use it as well.
+	CreditTime = 150 * time.Millisecond
+	// MaxCredits is the largest number of credits in an answer.
+	MaxCredits = 8
+	// lendableShare is the part of its free slots that a host lends at a time: its own callers need the rest
+	// while a credit may be used.
+	lendableShare = 0.5
+	// askIntervalMin is the time between two requests for credits while they are granted. It doubles with each
+	// request without one, up to askIntervalMax, so that hosts that are all short don't ask all the time.
+	askIntervalMin = 10 * time.Millisecond
+	askIntervalMax = 80 * time.Millisecond
+	// asksPerSecond and askBurst bound the requests of a host. Each goes to two hosts, and with the answers takes
+	// about 300 bytes; a host is asked as often as it asks. 12 a second are 7.2 KB a second, of a budget of 8.
+	asksPerSecond = 12
+	askBurst      = 12
+)
+
+// Lender counts the slots of an upstream that a host has lent to others. A credit counts until the request that
+// it may be used for is expected to be answered. The zero value has lent nothing.
+type Lender struct {
+	until []time.Duration
+}
+
+// Lent returns the number of slots that are lent.
+func (l *Lender) Lent(now time.Duration) int {
+	n := 0
+	for _, t := range l.until {
+		if t > now {
+			l.until[n] = t
+			n++
+		}
+	}
+	l.until = l.until[:n]
+	return n
+}
+
+// Lend returns how many of the wanted credits are granted, of slots that are free after the lent ones, and counts
+// them. The work is the time that a request takes a slot.
+func (l *Lender) Lend(now time.Duration, free float64, wanted int, work time.Duration) int {
+	n := min(int(math.Ceil(free*lendableShare)), int(free), wanted)
+	for range n {
+		l.until = append(l.until, now+CreditTime+work)
+	}
+	return max(n, 0)
+}
+
+// Asker decides when a host that is short of slots asks others for credits. The zero value is ready to use.
+type Asker struct {
+	interval, nextAt time.Duration
+	tokens           float64
+	tokensAt         time.Duration
+	started          bool
+}
+
+// Ask reports whether the host asks now, and counts the request.
+func (a *Asker) Ask(now time.Duration) bool {
+	if !a.started {
+		a.started, a.interval, a.tokens, a.tokensAt = true, askIntervalMin, askBurst, now
+	}
+	a.tokens = min(askBurst, a.tokens+(now-a.tokensAt).Seconds()*asksPerSecond)
+	a.tokensAt = now
+	if now < a.nextAt || a.tokens < 1 {
+		return false
+	}
+	a.tokens--
+	a.nextAt = now + a.interval
+	a.interval = min(2*a.interval, askIntervalMax)
+	return true
+}
+
+// Granted records that a request was granted.
+func (a *Asker) Granted(now time.Duration) {
+	a.interval = askIntervalMin
+	a.nextAt = min(a.nextAt, now+askIntervalMin)
+}
+
+// Denials returns the number of requests in a row that were not granted, as far as it is known.
+func (a *Asker) Denials() int {
+	if a.interval <= askIntervalMin {
+		return 0
+	}
+	return int(math.Log2(float64(a.interval / askIntervalMin)))
+}
--- a/internal/loadcontrol/doc.go
+++ b/internal/loadcontrol/doc.go
@@ -21,12 +21,15 @@
 //	demand exceeds the slots         Demand: refused at once                     waiting callers aren't served
 //	urgent and other requests mix    Class: urgent requests get a larger limit,  urgent work goes first; requests
 //	                                 late ones a smaller one                     that aren't late can be in time
+//	upstreams return empty           ColdOwners, ColdPacer: one host of the      a burst makes them slow for all;
+//	                                 zone opens few flows to each                a bound per host would not add up
 //	requests on open flows           count as open before they are sent          a host can't refuse them
 //
 // Ways that were weighed, each against what a host can see:
 //
-//   - AIMD, Vegas and gradient limits per upstream need samples: at 79 hosts and 293 upstreams a host
-//     sees one request in 13 s for each. Window is AIMD for all foreign upstreams of a service together.
+//   - AIMD, Vegas and gradient limits per upstream need more samples than a host has, or take heavy-tailed
+//     work for load; package capacity judges upstreams against their peers instead. Window is AIMD for all
+//     foreign upstreams of a service together.
 //   - CoDel sheds by the time in the queue; the queue is at the upstream, where no host sees it. Demand
 //     takes its place: a backlog that the slots can't work off is refused.
 //   - Credits (Breakwater) and probes of load (Prequal) need answers from upstreams, which go to callers.
