dsrhost: gauges of evacuations and cold upstreams are registered with the others

Cause: the check that each metric is documented reads the file with all registrations; these two were elsewhere, and it failed. Change: both functions moved. Measured: doccheck passes.

--- a/internal/dsrhost/cold.go
+++ b/internal/dsrhost/cold.go
@@ -32,12 +32,6 @@
 	sent, passedOver atomic.Uint64
 }
 
-// registerCold registers the gauges of opening packets to cold upstreams.
-func (s *stats) registerCold() {
-	s.set.NewGauge(`mimosashore_dsr_cold_openings{result="sent"}`, func() float64 { return float64(s.cold.sent.Load()) })
-	s.set.NewGauge(`mimosashore_dsr_cold_openings{result="passed over"}`, func() float64 { return float64(s.cold.passedOver.Load()) })
-}
-
 // update copies the counters from the core.
 func (g *coldGauges) update(c *dsr.Core) {
 	sent, passedOver := c.ColdOpenings()
--- a/internal/dsrhost/evacuation.go
+++ b/internal/dsrhost/evacuation.go
@@ -105,12 +105,6 @@
 	zones, services atomic.Int64
 }
 
-// registerEvacuations registers the gauges of evacuations.
-func (s *stats) registerEvacuations() {
-	s.set.NewGauge("mimosashore_dsr_evacuated_zones", func() float64 { return float64(s.evacuations.zones.Load()) })
-	s.set.NewGauge("mimosashore_dsr_evacuated_services", func() float64 { return float64(s.evacuations.services.Load()) })
-}
-
 // update copies the gauges from the core.
 func (g *evacuationGauges) update(c *dsr.Core) {
 	zones, services := c.EvacuatedZones()
--- a/internal/dsrhost/stats.go
+++ b/internal/dsrhost/stats.go
@@ -107,6 +107,18 @@
 	}
 }
 
+// registerEvacuations registers the gauges of evacuations.
+func (s *stats) registerEvacuations() {
+	s.set.NewGauge("mimosashore_dsr_evacuated_zones", func() float64 { return float64(s.evacuations.zones.Load()) })
+	s.set.NewGauge("mimosashore_dsr_evacuated_services", func() float64 { return float64(s.evacuations.services.Load()) })
+}
+
+// registerCold registers the gauges of opening packets to cold upstreams.
+func (s *stats) registerCold() {
+	s.set.NewGauge("mimosashore_dsr_cold_openings{result=\"sent\"}", func() float64 { return float64(s.cold.sent.Load()) })
+	s.set.NewGauge("mimosashore_dsr_cold_openings{result=\"passed over\"}", func() float64 { return float64(s.cold.passedOver.Load()) })
+}
+
 // countStoreCall counts a call to the store by operation and result.
 func (s *stats) countStoreCall(op string, err error) {
 	result := "answered"
