--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -286,9 +286,6 @@
 	}
 	f.upstream, f.route = choice.upstream, r
 	f.upstream.pacer.AdmittedAt = now
-	if f.upstream.hasCredit(now) {
-		f.upstream.credits--
-	}
 	if f.upstream.share == 0 {
 		s.spill.AdmittedAt = now
 	}
--- a/internal/dsr/lending.go
+++ b/internal/dsr/lending.go
@@ -1,6 +1,7 @@
 package dsr
 
 import (
+	"slices"
 	"time"
 
 	"mimosashore.example/mimosashore/internal/loadcontrol"
@@ -17,7 +18,7 @@
 	At time.Duration
 }
 
-// Credit is the permission to open flows at an upstream that another host is responsible for.
+// Credit lends slots of an upstream that another host is responsible for, for loadcontrol.CreditTime.
 type Credit struct {
 	Token Token
 	Count int
@@ -83,11 +84,11 @@
 		}
 		if now >= u.creditUntil {
 			u.credits = 0
+			s.borrowed = append(s.borrowed, u)
 		}
 		u.credits = min(u.credits+cr.Count, loadcontrol.MaxCredits)
 		u.creditUntil = askedAt + loadcontrol.CreditTime
 		accepted += min(cr.Count, loadcontrol.MaxCredits)
-		c.useCredits(now, s, u)
 	}
 	if accepted > 0 {
 		s.asker.Granted(now)
@@ -96,16 +97,17 @@
 	return accepted
 }
 
-// hasCredit reports whether a flow may be opened at an upstream of another host.
-func (u *upstream) hasCredit(now time.Duration) bool { return u.credits > 0 && now < u.creditUntil }
+// hasCredit reports whether a slot that another host lent is free.
+func (u *upstream) hasCredit(now time.Duration) bool {
+	return now < u.creditUntil && u.busy+u.opening < u.credits
+}
 
-// useCredits places waiting callers at an upstream of another host.
-func (c *Core) useCredits(now time.Duration, s *service, u *upstream) {
-	for u.hasCredit(now) && s.queue.FreeLen() > 0 {
-		e := s.queue.Next(now, nil, u.learnedWork(now))
-		if e == nil {
-			return
+// useCredits places waiting callers at upstreams of which other hosts lent slots.
+func (c *Core) useCredits(now time.Duration, s *service) {
+	s.borrowed = slices.DeleteFunc(s.borrowed, func(u *upstream) bool { return now >= u.creditUntil || u.gone })
+	for _, u := range s.borrowed {
+		for u.hasCredit(now) && s.queue.FreeLen() > 0 && u.usable() && !u.suspect(now) && c.coldLeft(now, u) == 0 {
+			c.serve(now, s.queue.Next(now, nil, u.learnedWork(now)).Value)
 		}
-		c.serve(now, e.Value)
 	}
 }
--- a/internal/dsr/lending_test.go
+++ b/internal/dsr/lending_test.go
@@ -42,7 +42,7 @@
 	require.Len(t, e, 1)
 	require.Equal(t, Forward, e[0].Effect.Action)
 	require.Equal(t, credits[0].Token, e[0].Effect.Token)
-	require.False(t, short.core.tokens[credits[0].Token].hasCredit(short.now), "a credit opens one flow")
+	require.False(t, short.core.tokens[credits[0].Token].hasCredit(short.now), "a slot takes one request at a time")
 }
 
 // A slot that is lent must not be used by its own host as well, and not be lost if the borrower dies.
--- a/internal/dsr/room.go
+++ b/internal/dsr/room.go
@@ -40,6 +40,9 @@
 		// After a change of the rotation, most flows are at upstreams of other hosts.
 		return true
 	}
+	if u.hasCredit(now) {
+		return true
+	}
 	return c.hasRoomFor(now, s, u, u.learnedKnee(now))
 }
 
--- a/internal/dsr/servewaiting.go
+++ b/internal/dsr/servewaiting.go
@@ -85,6 +85,7 @@
 		}
 	}
 	c.serveCold(now, s)
+	c.useCredits(now, s)
 	c.askForCredits(now, s)
 	for !c.hasOwn(now, s) && s.queue.FreeLen() > 0 && s.spill.Admits(now, s.spilled, loadcontrol.Class{}) && c.hasForeign(now, s) {
 		e := s.queue.Next(now, nil, s.work.Mean())
--- a/internal/dsr/service.go
+++ b/internal/dsr/service.go
@@ -48,6 +48,8 @@
 	urgentWaiting int
 	// coldUpstreams holds those that may be cold.
 	coldUpstreams []*upstream
+	// borrowed holds the upstreams of which other hosts lent slots.
+	borrowed []*upstream
 	// lined holds the upstreams for which requests on open flows wait.
 	lined []*upstream
 	// asker decides when to ask other hosts for slots.
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -83,8 +83,8 @@
 	// idle.
 	line      schedule.Line[*waitingRequest]
 	busySince time.Duration
-	// lender counts the slots that are lent to other hosts, credits those that another host lent to this
-	// one until creditUntil.
+	// lender counts the slots that are lent to other hosts, credits those that other hosts lent to this one until
+	// creditUntil.
 	lender      loadcontrol.Lender
 	credits     int
 	creditUntil time.Duration
--- a/internal/loadcontrol/credit.go
+++ b/internal/loadcontrol/credit.go
@@ -6,13 +6,13 @@
 )
 
 const (
-	// CreditTime is how long a credit may be used, counted from the request for it. Callers that come before the
-	// next request use it as well.
-	CreditTime = 150 * time.Millisecond
-	// MaxCredits is the largest number of credits in an answer.
+	// CreditTime is how long a lent slot may be used, counted from the request for it: one request after the other. At
+	// a work of 30 to 50 ms it serves ten or more of them, so that few messages are needed; a slot that the borrower does
+	// not need is missing at its own host for as long.
+	CreditTime = 500 * time.Millisecond
+	// MaxCredits is the largest number of slots in an answer.
 	MaxCredits = 8
-	// lendableShare is the part of its free slots that a host lends at a time: its own callers need the rest
-	// while a credit may be used.
+	// lendableShare is the part of its free slots that a host lends at a time: its own callers need the rest.
 	lendableShare = 0.5
 	// askIntervalMin is the time between two requests for credits while they are granted. It doubles with each
 	// request without one, up to askIntervalMax, so that hosts that are all short don't ask all the time.
@@ -24,8 +24,8 @@
 	askBurst      = 12
 )
 
-// Lender counts the slots of an upstream that a host has lent to others. A credit counts until the request that
-// it may be used for is expected to be answered. The zero value has lent nothing.
+// Lender counts the slots of an upstream that a host has lent to others. A slot counts as lent until the last request
+// that it may be used for is expected to be answered. The zero value has lent nothing.
 type Lender struct {
 	until []time.Duration
 }
@@ -43,8 +43,8 @@
 	return n
 }
 
-// Lend returns how many of the wanted credits are granted, of slots that are free after the lent ones, and counts
-// them. The work is the time that a request takes a slot.
+// Lend returns how many of the wanted slots are lent, of those that are free beside the lent ones, and counts them. The
+// work is the time that a request takes a slot.
 func (l *Lender) Lend(now time.Duration, free float64, wanted int, work time.Duration) int {
 	n := min(int(math.Ceil(free*lendableShare)), int(free), wanted)
 	for range n {
