standin/dsrworld: a watch answers with the revision that its events are complete up to

A write between the end of a watch's wait and its answer was left out of the events, but counted in asOf, so that hosts never saw it.

--- a/cmd/mimosad-dsr/evacuation_test.go
+++ b/cmd/mimosad-dsr/evacuation_test.go
@@ -33,7 +33,9 @@
 	_, err = open.Request("on an open flow")
 	require.NoError(t, err)
 	f.restore(before)
-	f.awaitLog(f.hosts[1], "evacuation that the store lost stays in force")
+	for _, h := range f.hosts {
+		f.awaitLog(h, "evacuation that the store lost stays in force")
+	}
 	f.store.SetDown(true)
 	f.hosts[0].kill()
 	f.hosts[0].start()
--- a/internal/standin/dsrworld/config.go
+++ b/internal/standin/dsrworld/config.go
@@ -36,7 +36,7 @@
 	// Zones lists all availability zones.
 	Zones []string
 	// Data, Ready and Control are the addresses at which the host receives datagrams,
-	// serves its readiness and receives control messages.
+	// serves its readiness and receives control messages; Control is optional.
 	Data, Ready, Control netip.AddrPort
 	// Contacts are the control addresses of other hosts, Store is the address of the store.
 	Contacts []string
@@ -45,6 +45,8 @@
 	StopTimeout, ApplyTimeout time.Duration
 	// EvacuateTimeout limits the time until an evacuation is in force; left out if it is zero.
 	EvacuateTimeout time.Duration
+	// ColdOver and ColdSlack bound the opening packets to cold upstreams; left out if both are zero.
+	ColdOver, ColdSlack float64
 }
 
 // Encode returns the settings file.
@@ -57,9 +59,16 @@
 	if s.EvacuateTimeout > 0 {
 		bounds["evacuateMs"] = s.EvacuateTimeout.Milliseconds()
 	}
+	if s.ColdOver+s.ColdSlack > 0 {
+		bounds["coldOver"], bounds["coldSlack"] = s.ColdOver, s.ColdSlack
+	}
+	listen := map[string]string{"datagramAddr": s.Data.String(), "ready": s.Ready.String()}
+	if s.Control.IsValid() {
+		listen["control"] = s.Control.String()
+	}
 	return json.Marshal(map[string]any{
 		"node": s.Name, "zone": s.Zone, "zones": zones,
-		"listen":   map[string]string{"datagramAddr": s.Data.String(), "ready": s.Ready.String(), "control": s.Control.String()},
+		"listen":   listen,
 		"seeds":    s.Contacts,
 		"bounds":   bounds,
 		"platform": map[string]any{"addr": s.Store},
--- a/internal/standin/dsrworld/store.go
+++ b/internal/standin/dsrworld/store.go
@@ -276,6 +276,8 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		}
+		// The answer is complete up to here. A write may come before the lock is held again.
+		at := max(after, s.watchRevision())
 		events := []entry{}
 		for _, e := range s.history {
 			if e.Revision > after && e.Revision <= s.watchRevision() && strings.HasPrefix(e.Key, query.Get("prefix")) {
@@ -283,7 +285,7 @@
 			}
 		}
 		if len(events) > 0 {
-			s.writeEntries(w, "events", events, fmt.Sprintf(`"asOf":%d`, max(after, s.watchRevision())))
+			s.writeEntries(w, "events", events, fmt.Sprintf(`"asOf":%d`, at))
 			return
 		}
 		changed, done := s.changed, false
@@ -301,7 +303,7 @@
 			return
 		}
 		if done {
-			s.writeEntries(w, "events", events, fmt.Sprintf(`"asOf":%d`, max(after, s.watchRevision())))
+			s.writeEntries(w, "events", events, fmt.Sprintf(`"asOf":%d`, at))
 			return
 		}
 	}
