--- a/internal/dsr/choose.go
+++ b/internal/dsr/choose.go
@@ -46,6 +46,8 @@
 	// that may not answer, full that of other ones at their limit.
 	considered, suspect, full int
 	cost                      float64
+	// searchedAll is set if all upstreams of the service were compared.
+	searchedAll bool
 	// repeatLoad is the expected number of requests in progress on an idle flow.
 	repeatLoad float64
 }
@@ -63,6 +65,10 @@
 	if s.sharesStale {
 		c.computeShares(s)
 	}
+	if u := c.waiting.target; u != nil && u.service == s && u.usable() {
+		ch.upstream, ch.reason, ch.considered = u, ReasonPlaced, 1
+		return ch
+	}
 	ch.repeatLoad = s.repeatLoad(now)
 	c.rotation++
 	start := int(((c.rotation * goldenRatioStep) >> 32) % uint64(len(s.upstreams)))
@@ -74,7 +80,7 @@
 		c.considerFrom(now, &ch, r, start, foreignSample, spills)
 	}
 	if ch.cost >= suspectCost {
-		ch.considered, ch.suspect, ch.full = 0, 0, 0
+		ch.considered, ch.suspect, ch.full, ch.searchedAll = 0, 0, 0, true
 		c.considerFrom(now, &ch, r, start, len(s.upstreams), spills)
 	}
 	if ch.full > 0 && ch.cost >= suspectCost {
--- a/internal/dsr/explain.go
+++ b/internal/dsr/explain.go
@@ -220,7 +220,7 @@
 	start := int(((c.rotation * goldenRatioStep) >> 32) % uint64(n))
 	var own, compared []*upstream
 	count := n
-	if n > fullSearchSize && ch.cost < suspectCost {
+	if n > fullSearchSize && !ch.searchedAll {
 		own, count = s.own, foreignSample
 		compared = append(compared, own...)
 	}
--- a/internal/dsr/lending.go
+++ b/internal/dsr/lending.go
@@ -107,7 +107,7 @@
 	s.borrowed = slices.DeleteFunc(s.borrowed, func(u *upstream) bool { return now >= u.creditUntil || u.gone })
 	for _, u := range s.borrowed {
 		for u.hasCredit(now) && s.queue.FreeLen() > 0 && u.usable() && !u.suspect(now) && c.coldLeft(now, u) == 0 {
-			c.serve(now, s.queue.Next(now, nil, u.learnedWork(now)).Value)
+			c.serveAt(now, s.queue.Next(now, nil, u.learnedWork(now)).Value, u)
 		}
 	}
 }
--- a/internal/dsr/servewaiting.go
+++ b/internal/dsr/servewaiting.go
@@ -42,6 +42,13 @@
 	c.recycle(w)
 }
 
+// serveAt releases a request that takes a slot of the given upstream.
+func (c *Core) serveAt(now time.Duration, w *waitingRequest, u *upstream) {
+	c.waiting.target = u
+	c.serve(now, w)
+	c.waiting.target = nil
+}
+
 // serveWaiting gives free slots to waiting requests, and ends the wait of those that will not be served.
 func (c *Core) serveWaiting(now time.Duration) {
 	if len(c.waiting.byKey) == 0 {
@@ -79,7 +86,7 @@
 				e = s.queue.NextInLine(now, &u.line)
 			}
 			if e != nil {
-				c.serve(now, e.Value)
+				c.serveAt(now, e.Value, u)
 				served = true
 			}
 		}
@@ -120,7 +127,7 @@
 			if e == nil {
 				return
 			}
-			c.serve(now, e.Value)
+			c.serveAt(now, e.Value, u)
 		}
 	}
 }
--- a/internal/dsr/waiting.go
+++ b/internal/dsr/waiting.go
@@ -74,6 +74,8 @@
 	free       []*waitingRequest
 	// draining is set while waiting requests are released, so that their packets are not held again.
 	draining bool
+	// target is the upstream whose free slot a released SYN takes; nil if any may take it.
+	target *upstream
 }
 
 func newWaiting() waiting {
