--- a/internal/dsrhost/feed.go
+++ b/internal/dsrhost/feed.go
@@ -39,6 +39,13 @@
 	// startupStoreWait is how long a host without a directory waits for the store before it also
 	// turns to other hosts. The store normally answers the two calls of a full read in 8 ms.
 	startupStoreWait = 250 * time.Millisecond
+	// promptWait is how long the first watch waits for a write when the host begins to read the store with a
+	// directory that came from another host. Hosts that follow this one learn by its answer that the store answers.
+	promptWait = 100 * time.Millisecond
+	// startupSnapshotWait is how long a host that starts waits for the directory of another host before it
+	// reads the store: a hello to a contact, and the directory from a host that has it. Where all
+	// hosts start at once, it waits for the answers of three hosts.
+	startupSnapshotWait = 100 * time.Millisecond
 	// startupPeerWait is how long a host that starts waits for other hosts to tell what the
 	// store lost, before it serves what it read: six round trips of 4 ms. Where all hosts start
 	// at once, each of them waits in vain.
@@ -108,13 +115,21 @@
 	// greeted is closed when other hosts had the chance to tell what the store lost; nil if
 	// there is no exchange with other hosts.
 	greeted <-chan struct{}
-	// fullReadPending is set when a full read is due.
-	fullReadPending bool
+	// hasSource reports whether a host that answered a hello has a recent directory. awaitsSnapshot is set while
+	// this host, at its start, waits for it, and peerUpdated is signalled with each update of another host.
+	hasSource      func() bool
+	awaitsSnapshot atomic.Bool
+	peerUpdated    chan struct{}
+	// fullReadPending is set when a full read is due, verifyPending when the directory came from another host at the
+	// start and was not compared with the store yet, and watchPromptly when the next watch is to wait
+	// for promptWait only. They belong to run.
+	fullReadPending, verifyPending, watchPromptly bool
 }
 
 // run reads the store until the context ends. After a failure it resumes from the
 // replica's position, as long as the store still has that history.
 func (f *feed) run(ctx context.Context) {
+	f.awaitSnapshot(ctx)
 	wait := retryMin
 	for ctx.Err() == nil {
 		err := f.read(ctx)
@@ -171,15 +186,40 @@
 		if err := f.list(ctx); err != nil {
 			return err
 		}
-		f.fullReadPending = false
+		f.fullReadPending, f.verifyPending = false, false
 		return nil
 	}
+	if f.verifyPending {
+		return f.verify(ctx)
+	}
 	return f.watch(ctx)
 }
 
+// verify compares the directory of another host with the store. That host may have missed writes
+// that the store's watches did not report; this one then makes a full read.
+func (f *feed) verify(ctx context.Context) error {
+	key := f.translator.layout.ConfigurationKey
+	page, err := f.store.List(ctx, key, key, 0)
+	f.stats.countStoreCall(opPosition, err)
+	if err != nil {
+		return err
+	}
+	if err := f.watchOnce(ctx); err != nil {
+		return err
+	}
+	f.verifyPending = false
+	if held := f.replica.Position(); held.Compare(page.Position()) < 0 {
+		f.log.Warn("directory of another host is behind the store, reading the full directory",
+			positionFields(held, zap.Uint64("store_era", uint64(page.Era)), zap.Uint64("store_revision", uint64(page.At)))...)
+		f.fullReadPending = true
+	}
+	return nil
+}
+
 // waitWhileDelegated blocks while another host reads the store for this one, unless a full read is requested.
 func (f *feed) waitWhileDelegated(ctx context.Context) {
 	for f.delegated != nil && f.delegated() && ctx.Err() == nil {
+		f.watchPromptly = true
 		select {
 		case <-ctx.Done():
 		case <-f.resume:
@@ -190,6 +230,35 @@
 	}
 }
 
+// awaitSnapshot waits at the start for the directory of another host, at most startupSnapshotWait.
+func (f *feed) awaitSnapshot(ctx context.Context) {
+	if f.greeted == nil {
+		return
+	}
+	f.awaitsSnapshot.Store(true)
+	defer f.awaitsSnapshot.Store(false)
+	timer := time.NewTimer(startupSnapshotWait)
+	defer timer.Stop()
+	select {
+	case <-f.greeted:
+	case <-timer.C:
+		return
+	case <-ctx.Done():
+		return
+	}
+	for f.hasSource() && f.replica.Position().IsZero() {
+		select {
+		case <-f.peerUpdated:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+	f.verifyPending = !f.replica.Position().IsZero()
+	f.watchPromptly = f.verifyPending
+}
+
 // resumeReading wakes waitWhileDelegated after delegation ended.
 func (f *feed) resumeReading() { signal(f.resume) }
 
@@ -212,7 +281,7 @@
 // none after startupStoreWait, or the last call failed and the store has not answered
 // for longer than peerFallbackDelay.
 func (f *feed) needsPeers() bool {
-	if f.replica.Position().IsZero() && f.elapsed() > startupStoreWait {
+	if f.replica.Position().IsZero() && (f.awaitsSnapshot.Load() || f.elapsed() > startupStoreWait) {
 		return true
 	}
 	if !f.failing.Load() {
@@ -347,18 +416,30 @@
 // minWatchInterval to batch writes that come in quick succession.
 func (f *feed) watch(ctx context.Context) error {
 	started := f.elapsed()
+	if err := f.watchOnce(ctx); err != nil {
+		return err
+	}
+	if took := f.elapsed() - started; took < f.minWatchInterval {
+		sleep(ctx, f.minWatchInterval-took)
+	}
+	return nil
+}
+
+func (f *feed) watchOnce(ctx context.Context) error {
 	at := f.replica.Position()
-	events, next, err := f.store.Watch(ctx, "", at, watchWait)
+	wait := watchWait
+	if f.watchPromptly {
+		wait = promptWait
+	}
+	events, next, err := f.store.Watch(ctx, "", at, wait)
 	f.stats.countStoreCall(opWatch, err)
 	if err != nil {
 		return err
 	}
 	f.applyWatch(ctx, replica.Update{Era: next.Era, AtRevision: max(at.Revision, next.Revision), Events: f.translator.filterEvents(events)})
 	f.recordAnswer()
+	f.watchPromptly = false
 	f.dropExpired(ctx)
-	if took := f.elapsed() - started; took < f.minWatchInterval {
-		sleep(ctx, f.minWatchInterval-took)
-	}
 	return nil
 }
 
@@ -386,6 +467,7 @@
 	}
 	f.send(ctx, e)
 	f.announceConfirmation(ctx)
+	signal(f.peerUpdated)
 }
 
 // dropExpired drops registrations that the store lost and that were not written again.
--- a/internal/dsrhost/host.go
+++ b/internal/dsrhost/host.go
@@ -91,7 +91,7 @@
 	h.feed = &feed{
 		store: d.Store, translator: h.translator, replica: h.replica, log: h.translator.log,
 		minWatchInterval: d.Settings.ApplyWithin / watchIntervalDivisor, elapsed: h.elapsed, out: h.events,
-		resync: make(chan struct{}, 1), confirm: make(chan struct{}, 1), resume: make(chan struct{}, 1), stats: h.stats,
+		resync: make(chan struct{}, 1), confirm: make(chan struct{}, 1), resume: make(chan struct{}, 1), peerUpdated: make(chan struct{}, 1), stats: h.stats,
 	}
 	h.stats.registerFeed(h.feed)
 	if err := h.listen(ctx); err != nil {
@@ -122,7 +122,7 @@
 		if err != nil {
 			return err
 		}
-		h.feed.delegated, h.feed.greeted = h.peer.Delegated, h.peer.Greeted()
+		h.feed.delegated, h.feed.greeted, h.feed.hasSource = h.peer.Delegated, h.peer.Greeted(), h.peer.HasSource
 		h.stats.registerPeer(h.peer)
 	}
 	h.sockets, err = netio.Listen(ctx, s.Data, netio.Options{Readers: 1, Batch: 1})
--- a/internal/dsrhost/stats.go
+++ b/internal/dsrhost/stats.go
@@ -75,9 +75,12 @@
 	s.set.NewGauge("mimosashore_dsr_known_hosts", func() float64 { return float64(p.KnownPeers()) })
 	for kind, count := range map[string]*atomic.Uint64{
 		"followed": &p.Stats.Followed, "served": &p.Stats.Served, "refused": &p.Stats.Refused, "failed": &p.Stats.Failed,
+		"hello": &p.Stats.Hellos, "parent": &p.Stats.Parents, "snapshot": &p.Stats.Snapshots,
 	} {
 		s.set.NewGauge(fmt.Sprintf("mimosashore_dsr_peer_messages{kind=%q}", kind), func() float64 { return float64(count.Load()) })
 	}
+	s.set.NewGauge(`mimosashore_dsr_peer_bytes{direction="received"}`, func() float64 { return float64(p.Stats.Received.Load()) })
+	s.set.NewGauge(`mimosashore_dsr_peer_bytes{direction="sent"}`, func() float64 { return float64(p.Stats.Sent.Load()) })
 }
 
 // countStoreCall counts a call to the store by operation and result.
--- a/internal/dsrpeer/follow.go
+++ b/internal/dsrpeer/follow.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/coder/websocket"
@@ -10,120 +13,281 @@
 	"go.uber.org/zap"
 
 	"mimosashore.example/mimosashore/internal/replica"
+	"mimosashore.example/mimosashore/internal/store"
 )
 
-// SendHellos sends hellos to other hosts until the context ends, so that hosts
-// discover each other. Hosts that start at the same time discover each other within
-// the first few hellos.
+// SendHellos sends hellos to other hosts until the context ends, so that the hosts of a zone know each
+// other: to random hosts of the zone, often while there is news; to contacts at the start, seldom
+// afterwards, and while no host of the zone is known.
 func (p *Peer) SendHellos(ctx context.Context) {
-	p.helloSeveral(ctx)
+	p.greet(ctx)
 	close(p.greeted)
-	interval := helloMinInterval
+	p.contactedAt, p.contactFactor = p.settings.Now(), rand.Float64()-0.5
+	var pace helloPace
 	for ctx.Err() == nil {
-		if !p.helloAny(ctx) {
-			sleep(ctx, helloRetry)
-			continue
+		interval := pace.next(p.peers.addedHosts(), p.peers.position(p.settings.Now()).Count > 1)
+		if !p.helloAny(ctx, pace.calm()) {
+			interval = helloRetry
 		}
-		p.answeredHellos.Add(1)
-		sleep(ctx, interval)
-		interval = min(2*interval, helloMaxInterval)
+		p.awaitNews(ctx, jitter(interval), pace.calm())
+	}
+}
+
+// helloPace decides about the time between hellos.
+type helloPace struct {
+	// added is the number of hosts of the zone that were added so far, and news the number of hellos that are
+	// still to be sent because of the last of them.
+	added uint64
+	news  int
+	// alone is the last interval of a host that knew no other one of its zone.
+	alone time.Duration
+}
+
+// next returns the time from the next hello to the one after it. Its arguments are the number of
+// hosts of the zone that were added since the start and whether any is known now.
+func (p *helloPace) next(added uint64, known bool) time.Duration {
+	p.news = max(p.news-1, 0)
+	if added != p.added {
+		p.added, p.news = added, newsHellos
+	}
+	switch {
+	case !known:
+		p.alone = min(max(2*p.alone, helloMinInterval), helloMaxInterval)
+		return p.alone
+	case p.news > 0:
+		p.alone = 0
+		return newsInterval
+	default:
+		return calmInterval
+	}
+}
+
+// calm reports whether there is no news.
+func (p *helloPace) calm() bool { return p.news == 0 }
+
+// awaitNews waits for a duration, and no longer than newsInterval after the host learned of another
+// one of its zone while there was no news.
+func (p *Peer) awaitNews(ctx context.Context, d time.Duration, calm bool) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	news := p.peers.news
+	if !calm {
+		news = nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-news:
+		sleep(ctx, min(jitter(newsInterval), d))
 	}
 }
 
 // Follow runs until the context ends. While the store does not answer, it follows a
 // host that has the directory; otherwise, if delegation is enabled, it follows a
-// host of its own zone that reads the store for this one.
+// host of its own zone instead of reading the store.
 func (p *Peer) Follow(ctx context.Context) {
+	p.awaitGreeting(ctx)
 	for ctx.Err() == nil {
 		wait := checkInterval
 		switch {
 		case p.settings.NeedsPeers():
 			if !p.followAny(ctx) {
-				wait = followRetry
+				wait = jitter(followRetry)
 				if !p.settings.Replica.Position().IsZero() {
-					wait = probeRetry
+					wait = jitter(probeRetry)
 				}
 			}
-		case p.settings.Delegate && p.answeredHellos.Load() > 1 && p.settings.Now() >= p.nextReaderAttempt:
+		case p.settings.Delegate && p.answeredHellos.Load() >= settledHellos && p.settings.Now() >= p.nextReaderAttempt:
 			p.followStoreReader(ctx)
-			p.nextReaderAttempt = p.settings.Now() + readerRetry
+			p.nextReaderAttempt = p.settings.Now() + jitter(readerRetry)
 		}
-		sleep(ctx, wait)
+		p.awaitSource(ctx, wait)
 	}
 }
 
-// followStoreReader follows a host that reads the store for this one, as long as
-// the store answers that host. This host does not read the store meanwhile.
+// awaitSource waits for a duration, or until a host without a directory hears of one that has it.
+func (p *Peer) awaitSource(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-p.sourceNoted:
+	}
+}
+
+// noteSource notes a host that has the directory, if this one has none.
+func (p *Peer) noteSource(host netip.AddrPort) {
+	if !p.settings.Replica.Position().IsZero() {
+		return
+	}
+	p.source.Store(&host)
+	select {
+	case p.sourceNoted <- struct{}{}:
+	default:
+	}
+}
+
+// awaitGreeting waits for the end of the first round of hellos, at most freshOnly.
+func (p *Peer) awaitGreeting(ctx context.Context) {
+	timer := time.NewTimer(freshOnly)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-p.greeted:
+	case <-timer.C:
+	}
+}
+
+// followStoreReader follows a host of the zone that reads the store or follows such a host. This host does
+// not read the store meanwhile. If the followed host is lost, it tries others for parentTime first.
 func (p *Peer) followStoreReader(ctx context.Context) {
-	for _, host := range p.peers.storeReaders(p.settings.Now()) {
-		n, ws, err := p.dial(ctx, host, true)
+	var err error
+	followed := false
+	for ctx.Err() == nil {
+		host, n, ws := p.findParent(ctx)
+		if ws == nil {
+			break
+		}
+		p.settings.Log.Info("another host reads the store for this one", zap.Stringer("host", host), zap.Uint8("depth", n.Depth), zap.Int64("heard_ms", n.StoreAgeMs),
+			zap.Bool("snapshot", len(n.Update) > 0))
+		followed = true
+		p.Stats.Parents.Add(1)
+		p.readerDepth.Store(int32(n.Depth))
+		p.storeReader.Store(&host)
+		if err = p.follow(ctx, host, ws, n, canBeParent); err == nil {
+			p.settings.ReaderLostStore(ctx)
+			break
+		}
+		p.failedParents[host] = p.settings.Now()
+		p.settings.Log.Info("lost the host that reads the store for this one", zap.Stringer("host", host), zap.Error(err))
+	}
+	if !followed {
+		return
+	}
+	p.storeReader.Store(nil)
+	p.settings.ResumeReading()
+	p.heard.signal()
+	p.settings.Log.Info("reading the store again", zap.Error(err))
+}
+
+// findParent connects to the first host that can be followed instead of reading the store. It
+// returns no connection if there is none.
+func (p *Peer) findParent(ctx context.Context) (netip.AddrPort, *syncMessage, *websocket.Conn) {
+	started := p.settings.Now()
+	maps.DeleteFunc(p.failedParents, func(_ netip.AddrPort, failed time.Duration) bool { return started-failed >= parentRetry })
+	tries := 0
+	for _, host := range p.peers.parents(started) {
+		now := p.settings.Now()
+		if _, failed := p.failedParents[host]; failed {
+			continue
+		}
+		if tries++; tries > parentTries || now-started > parentTime || ctx.Err() != nil {
+			break
+		}
+		n, ws, err := p.dialDirectory(ctx, host, followPath, p.settings.Replica.Position(), p.settings.Replica.KeptDigest())
 		if err != nil {
 			p.Stats.Failed.Add(1)
-			p.peers.remove(host)
+			p.failedParents[host] = now
 			continue
 		}
 		p.addPeers(host, n)
-		if !readsStore(n) || len(n.Update) == 0 || p.isBehind(n) {
-			ws.CloseNow()
-			continue
+		if canBeParent(n) && n.hasDirectory() && !p.isBehind(n) {
+			return host, n, ws
 		}
-		p.settings.Log.Info("another host reads the store for this one", zap.Stringer("host", host), zap.Int64("heard_ms", n.StoreAgeMs))
-		p.storeReader.Store(&host)
-		err = p.follow(ctx, host, ws, n, readsStore)
-		p.storeReader.Store(nil)
-		if err == nil {
-			p.settings.ReaderLostStore(ctx)
-		}
-		p.settings.ResumeReading()
-		p.settings.Log.Info("reading the store again", zap.Stringer("host", host), zap.Error(err))
-		return
+		ws.CloseNow()
 	}
+	return netip.AddrPort{}, nil, nil
 }
 
-// readsStore reports whether the sender of the message reads the store itself and
-// got an answer within maxReaderStoreAge.
+// canBeParent reports whether the sender of a message can be followed instead of reading the store.
+func canBeParent(n *syncMessage) bool { return readsStore(n) && n.Depth < maxDepth }
+
+// readsStore reports whether the sender of the message reads the store, itself or through hosts that it
+// follows, and the last answer was within maxReaderStoreAge.
 func readsStore(n *syncMessage) bool {
 	return n.ReadsStore && n.StoreAgeMs >= 0 && age(n.StoreAgeMs) <= maxReaderStoreAge
 }
 
-// helloAny sends hellos until a host answers. It reports false if hosts are known
-// but none answered. It tries contacts first, since all hosts of the zone send hellos to them.
-func (p *Peer) helloAny(ctx context.Context) bool {
-	hosts := p.peers.helloOrder(p.settings.Now())
-	if len(hosts) == 0 {
-		return true
+// helloAny sends hellos until a host answers, with the ages of known hosts if requested. It reports false
+// if hosts are known but none answered.
+func (p *Peer) helloAny(ctx context.Context, ages bool) bool {
+	now := p.settings.Now()
+	hosts := p.peers.randomZoneHosts(now, helloTries)
+	if ages {
+		// News reach random hosts, ages the same number of times each host.
+		p.calmHellos++
+		hosts = append(p.peers.distantZoneHost(now, p.calmHellos), hosts...)
+	}
+	if order := p.peers.helloOrder(now); len(hosts) == 0 {
+		hosts = order
+	} else if now-p.contactedAt >= p.contactInterval(now) {
+		hosts = append(firstHosts(order, helloTries), hosts...)
+		p.contactedAt, p.contactFactor = now, rand.Float64()
 	}
 	for _, host := range hosts {
-		n, err := p.hello(ctx, host)
-		if err != nil {
-			continue
+		if n, err := p.hello(ctx, host, ages); err == nil {
+			p.answeredHellos.Add(1)
+			p.fetchLost(ctx, host, n)
+			return true
 		}
-		p.fetchLost(ctx, host, n)
-		return true
 	}
-	return false
+	return len(hosts) == 0
+}
+
+// contactInterval returns a random time between hellos to contacts, such that about startHellos hosts of a zone send
+// one in each helloMaxInterval: the contacts then know some hosts of each zone, and parts of a zone that don't
+// know each other meet there.
+func (p *Peer) contactInterval(now time.Duration) time.Duration {
+	hosts := max(1, float64(p.peers.position(now).Count)/startHellos)
+	return time.Duration(hosts * (0.5 + p.contactFactor) * float64(helloMaxInterval))
 }
 
-// hello sends a hello to a host and returns its answer.
-func (p *Peer) hello(ctx context.Context, host netip.AddrPort) (*syncMessage, error) {
-	n, ws, err := p.dial(ctx, host, false)
+// hello sends a hello to a host, reconciles the known hosts of the zone with it and returns its answer.
+func (p *Peer) hello(ctx context.Context, host netip.AddrPort, ages bool) (*syncMessage, error) {
+	p.Stats.Hellos.Add(1)
+	n, ws, err := p.dial(ctx, host, helloPath, p.helloFrom(p.settings.Replica.Position(), p.peers.summarize(p.settings.Now(), ages)))
 	if err != nil {
 		return nil, err
 	}
-	ws.CloseNow()
+	defer ws.CloseNow()
 	p.addPeers(host, n)
+	if n.hasDirectory() {
+		p.noteSource(host)
+	}
+	if n.Self.Zone != p.settings.Zone || len(n.Hosts) == 0 {
+		return n, nil
+	}
+	now := p.settings.Now()
+	p.peers.addZoneHosts(now, n.Named)
+	differs := p.peers.mergeSummary(now, n.Hosts)
+	if named := p.peers.nameDiffering(now, differs, n.Named); len(named) > 0 && differs != [memberBuckets]bool{} {
+		// If the write fails, the next hello names the hosts again.
+		_ = p.write(ctx, ws, &namedHosts{Hosts: named})
+		// The other host closes the connection when it has read them.
+		_, _ = p.read(ctx, ws)
+	}
 	return n, nil
 }
 
-// helloSeveral sends a hello to a few hosts, so that a host that starts learns what any
-// of them keeps of the entries that the store lost.
-func (p *Peer) helloSeveral(ctx context.Context) {
-	for _, host := range firstHosts(p.peers.helloOrder(p.settings.Now()), startHellos) {
-		n, err := p.hello(ctx, host)
-		if err != nil {
-			continue
+// greet sends hellos to a few hosts, so that a host that starts learns which others its zone has and what any
+// of them keeps of the entries that the store lost: a contact, and hosts of the zone as soon as some
+// are known. The hosts of a zone begin with the same contact: those that start together meet there.
+func (p *Peer) greet(ctx context.Context) {
+	greeted := make(map[netip.AddrPort]bool)
+	for range startHellos {
+		now := p.settings.Now()
+		for _, host := range append(p.peers.randomZoneHosts(now, maxKnownPeers), p.peers.helloOrder(now)...) {
+			if greeted[host] {
+				continue
+			}
+			greeted[host] = true
+			if n, err := p.hello(ctx, host, true); err == nil {
+				p.answeredHellos.Add(1)
+				p.fetchLost(ctx, host, n)
+			}
+			break
 		}
-		p.fetchLost(ctx, host, n)
 	}
 }
 
@@ -142,7 +306,7 @@
 	if n.KeptDigest == 0 || n.KeptDigest == p.settings.Replica.KeptDigest() {
 		return
 	}
-	n, ws, err := p.dial(ctx, host, true)
+	n, ws, err := p.dialDirectory(ctx, host, directoryPath, store.Position{}, 0)
 	if err != nil {
 		return
 	}
@@ -168,23 +332,25 @@
 // followAny follows a host whose directory is fresh, as long as it stays so. It reports false
 // if this host needs the directory from another one and found none to follow.
 func (p *Peer) followAny(ctx context.Context) bool {
-	hosts := p.peers.list(p.settings.Now())
-	if !p.settings.Replica.Position().IsZero() {
-		shuffle(hosts)
-		hosts = p.freshHosts(ctx, firstHosts(hosts, probeHosts))
-	}
-	for _, host := range hosts {
+	held := p.settings.Replica.Position()
+	for _, host := range p.directoryHosts(!held.IsZero()) {
 		if ctx.Err() != nil || !p.settings.NeedsPeers() {
 			return true
 		}
-		n, ws, err := p.dial(ctx, host, true)
+		// Hosts that the store turns away must not settle on each other.
+		if !held.IsZero() && !p.hasFreshDirectory(ctx, host) {
+			continue
+		}
+		n, ws, err := p.dialDirectory(ctx, host, directoryPath, held, p.settings.Replica.KeptDigest())
 		if err != nil {
 			p.Stats.Failed.Add(1)
+			p.dropSource(host)
 			continue
 		}
 		p.addPeers(host, n)
-		if len(n.Update) == 0 || p.isBehind(n) {
+		if !n.hasDirectory() || p.isBehind(n) || p.settings.Now() < freshOnly && age(n.StoreAgeMs) > maxReaderStoreAge {
 			ws.CloseNow()
+			p.dropSource(host)
 			continue
 		}
 		p.settings.Log.Info("following another host", zap.Stringer("host", host), zap.Int64("heard_ms", n.StoreAgeMs))
@@ -195,22 +361,39 @@
 	return false
 }
 
-// freshHosts returns the first of the hosts whose directory is fresh by its answer to a hello, or
-// none. Hosts that the store turns away must not settle on each other.
-func (p *Peer) freshHosts(ctx context.Context, hosts []netip.AddrPort) []netip.AddrPort {
-	for _, host := range hosts {
-		n, err := p.hello(ctx, host)
-		if err != nil {
-			p.Stats.Failed.Add(1)
-			continue
-		}
-		if p.isFresh(n) && !p.isBehind(n) {
-			return []netip.AddrPort{host}
-		}
+// directoryHosts returns a few hosts that may have the directory, first the one that said so last.
+func (p *Peer) directoryHosts(held bool) []netip.AddrPort {
+	hosts := p.peers.list(p.settings.Now())
+	if held {
+		shuffle(hosts)
+		return firstHosts(hosts, probeHosts)
+	}
+	if source := p.source.Load(); source != nil {
+		hosts = append([]netip.AddrPort{*source}, slices.DeleteFunc(hosts, func(a netip.AddrPort) bool { return a == *source })...)
+	}
+	return firstHosts(hosts, followTries)
+}
+
+// dropSource forgets a host as one that has a recent directory.
+func (p *Peer) dropSource(host netip.AddrPort) {
+	if source := p.source.Load(); source != nil && *source == host {
+		p.source.CompareAndSwap(source, nil)
 	}
-	return nil
 }
 
+// hasFreshDirectory reports whether the directory of a host is fresh by its answer to a hello.
+func (p *Peer) hasFreshDirectory(ctx context.Context, host netip.AddrPort) bool {
+	n, err := p.hello(ctx, host, false)
+	if err != nil {
+		p.Stats.Failed.Add(1)
+		return false
+	}
+	return p.isFresh(n) && !p.isBehind(n)
+}
+
+// hasDirectory reports whether the sender of a message has the directory.
+func (n *syncMessage) hasDirectory() bool { return n.Era > 0 || n.Revision > 0 }
+
 // isFresh reports whether the sender of a message heard of the store lately, itself or through
 // the host that it follows, or at least later than this host.
 func (p *Peer) isFresh(n *syncMessage) bool {
@@ -244,7 +427,7 @@
 		if !while(n) {
 			return nil
 		}
-		b, err := read(ctx, ws)
+		b, err := p.read(ctx, ws)
 		if err != nil {
 			return err
 		}
@@ -281,7 +464,12 @@
 		heard := max(int64(p.settings.Now()-storeAge), 1)
 		p.storeHeardAt.Store(max(p.storeHeardAt.Load(), heard))
 	}
+	p.readerDepth.Store(int32(n.Depth))
 	p.settings.ApplyUpdate(ctx, host, u, storeAge)
+	if len(n.Update) == 0 {
+		// Followers of this host get a message with an update when they get the update.
+		p.heard.signal()
+	}
 	if behind {
 		return eris.Errorf("it is in era %d of the store, this host in a later one", n.Era)
 	}
--- a/internal/dsrpeer/message.go
+++ b/internal/dsrpeer/message.go
@@ -40,8 +40,14 @@
 type hello struct {
 	_    struct{} `cbor:",toarray"`
 	Self peerInfo
-	// Follow requests the directory and its updates.
-	Follow bool
+	// Hosts summarizes the hosts of the sender's zone that it knows; empty if the hello requests the
+	// directory. Hosts of other zones ignore it.
+	Hosts []bucket
+	// Era and Revision are the position of the store up to which the sender has the directory, and KeptDigest is the digest of
+	// what it keeps of the entries that the store lost. If the directory is requested, the answer starts there.
+	Era        uint64
+	Revision   uint64
+	KeptDigest uint64
 }
 
 // peerInfo identifies a host in messages.
@@ -58,21 +64,29 @@
 // and then to followers with each update or as a heartbeat.
 type syncMessage struct {
 	_ struct{} `cbor:",toarray"`
-	// Self is the sender and Peers the hosts known to it; they are set in the first message only.
+	// Self is the sender and Peers a few of the hosts known to it; they are set in the first message only.
 	Self  peerInfo
 	Peers []peerInfo
+	// Hosts summarizes the hosts of the zone that the sender knows, and Named names those in which
+	// they differ from the summary in the hello.
+	Hosts []bucket
+	Named []zoneHost
 	// StoreAgeMs is the time since the store last answered the sender or the host that it follows, in milliseconds; negative if
 	// it never did.
 	StoreAgeMs int64
-	// ReadsStore is set while the sender reads the store itself and its last call succeeded.
+	// ReadsStore is set while the sender reads the store itself and its last call succeeded, and while it
+	// follows a host for which it is set. Depth is the number of hosts between the sender and the store.
 	ReadsStore bool
-	// Era is the era of the store up to which the sender has the directory, KeptDigest the digest
-	// of the entries that the store lost and that the sender keeps, and KeptForMs how long it
+	Depth      uint8
+	// Era and Revision are the position of the store up to which the sender has the directory, KeptDigest is the digest
+	// of the entries that the store lost and that the sender keeps, and KeptForMs is how long it
 	// still keeps lost registrations, in milliseconds.
 	Era        uint64
+	Revision   uint64
 	KeptDigest uint64
 	KeptForMs  int64
-	// Update is an encoded update; empty in a heartbeat.
+	// Update is an encoded update; empty in a heartbeat, and in the first message to a host that is
+	// not behind the sender.
 	Update []byte
 }
 
@@ -164,7 +178,36 @@
 	if _, err := netip.ParseAddrPort(h.Self.Control); err != nil {
 		return h, eris.Errorf("hello has invalid control address %q", h.Self.Control)
 	}
-	return h, nil
+	return h, checkBuckets(h.Hosts)
+}
+
+// checkBuckets returns an error if a summary of hosts exceeds its limits.
+func checkBuckets(hosts []bucket) error {
+	if len(hosts) > memberBuckets {
+		return eris.Errorf("summary of hosts has %d parts; at most %d are allowed", len(hosts), memberBuckets)
+	}
+	for i := range hosts {
+		if n := len(hosts[i].Ages); n > maxKnownPeers {
+			return eris.Errorf("summary has the ages of %d hosts; at most %d are allowed", n, maxKnownPeers)
+		}
+	}
+	return nil
+}
+
+// checkNamed returns an error if a message names more hosts of the zone than allowed.
+func checkNamed(hosts []zoneHost) error {
+	if len(hosts) > maxNamed {
+		return eris.Errorf("message names %d hosts of the zone; at most %d are allowed", len(hosts), maxNamed)
+	}
+	return nil
+}
+
+func decodeNamedHosts(b []byte) ([]zoneHost, error) {
+	var m namedHosts
+	if err := messageCodec.Unmarshal(b, &m); err != nil {
+		return nil, eris.Wrap(err, "named hosts can't be decoded")
+	}
+	return m.Hosts, checkNamed(m.Hosts)
 }
 
 func decodeSyncMessage(b []byte) (*syncMessage, error) {
@@ -175,5 +218,11 @@
 	if len(m.Peers) > maxPeers {
 		return nil, eris.Errorf("sync message names %d hosts; at most %d are allowed", len(m.Peers), maxPeers)
 	}
+	if err := checkNamed(m.Named); err != nil {
+		return nil, err
+	}
+	if err := checkBuckets(m.Hosts); err != nil {
+		return nil, err
+	}
 	return &m, nil
 }
--- a/internal/dsrpeer/peer.go
+++ b/internal/dsrpeer/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -12,14 +13,22 @@
 
 	"github.com/coder/websocket"
 	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
 
 	"mimosashore.example/mimosashore/internal/loadcontrol"
 	"mimosashore.example/mimosashore/internal/logging"
 	"mimosashore.example/mimosashore/internal/replica"
+	"mimosashore.example/mimosashore/internal/store"
 )
 
-// directoryPath is the path of the WebSocket of the control address.
-const directoryPath = "/directory"
+// Paths of the WebSockets of the control address. Each has limits of its own.
+const (
+	// helloPath is for hellos, followPath for hosts that this one reads the store for, and directoryPath for
+	// hosts that need the directory because the store does not answer them.
+	helloPath     = "/hello"
+	followPath    = "/follow"
+	directoryPath = "/directory"
+)
 
 // Timeouts and intervals.
 const (
@@ -30,20 +39,43 @@
 	writeTimeout = time.Second
 	// heartbeatInterval is the interval of messages to a follower without updates.
 	heartbeatInterval = 400 * time.Millisecond
+	// relayedHeartbeat is the same of a host that follows another one and passes its heartbeats on. It is
+	// longer, so that the host sends none of its own as long as those arrive.
+	relayedHeartbeat = 600 * time.Millisecond
 	// readTimeout closes a connection without messages for three heartbeat intervals.
 	readTimeout = 1200 * time.Millisecond
-	// helloMinInterval is the time between the first two hellos; it doubles with each
-	// hello up to helloMaxInterval. helloRetry is the pause if no host answered.
+	// helloMinInterval is the time between the first two hellos of a host that knows no other one of its zone; it doubles
+	// with each hello up to helloMaxInterval. helloRetry is the pause if no host answered.
 	helloMinInterval = 1500 * time.Millisecond
 	helloMaxInterval = 25 * time.Second
 	helloRetry       = 500 * time.Millisecond
-	// startHellos is the number of hosts that a host greets when it starts: the contacts.
+	// newsInterval is the time between the next newsHellos hellos of a host that learned of a host of its zone, to
+	// random hosts. The number of those that know it doubles with each interval: 2.5 s for 814. With ten
+	// hellos of each of them, a host stays without the news with a probability of e^-10.
+	newsInterval = 250 * time.Millisecond
+	newsHellos   = 10
+	// calmInterval is the time between hellos without news. They keep known hosts from expiring.
+	calmInterval = 4 * time.Second
+	// helloTries is the number of hosts that are tried for a hello, one after the other.
+	helloTries = 3
+	// startHellos is the number of hosts that a host greets when it starts.
 	startHellos = 3
+	// settledHellos is the number of answered hellos after which a host follows another one: its list
+	// of the zone's hosts then is nearly complete.
+	settledHellos = 4
+	// KnownWithin is the time from the start of a host until all hosts of its zone know it: newsInterval times
+	// newsHellos, the first hello to a contact, and a calmInterval for a host that all those missed.
+	KnownWithin = 5 * time.Second
 	// maxReaderStoreAge is the longest time since the last store answer of a host that
-	// reads the store for others: the sum of a watch, its timeout and a pause.
+	// reads the store for others, also through hosts in between: the sum of a watch, its timeout and a pause.
 	maxReaderStoreAge = 4 * time.Second
 	// readerRetry is the pause before the next attempt to follow a store reader.
 	readerRetry = 2 * time.Second
+	// followTries is the number of hosts that a host without a directory asks for it before a pause.
+	followTries = 2
+	// freshOnly is the time since the start within which a host takes the directory only from hosts that
+	// heard of the store lately: the store normally answers by then.
+	freshOnly = 250 * time.Millisecond
 	// followRetry is the pause of a host without a directory if no known host could be followed,
 	// probeRetry that of one whose directory is no older than those of others.
 	followRetry = 300 * time.Millisecond
@@ -58,8 +90,16 @@
 	checkInterval = 100 * time.Millisecond
 	// headerTimeout is the longest wait for the header of a request; it allows for a TCP retransmission within a second.
 	headerTimeout = 2 * time.Second
-	// maxFollowers is the largest number of connections from other hosts.
-	maxFollowers = 64
+	// maxDirectoryFollowers is the largest number of hosts that get the directory from this one because the
+	// store does not answer them: the snapshots share a slow link.
+	maxDirectoryFollowers = 8
+	// maxHellos is the largest number of hellos that are answered at a time, helloRate the number each second
+	// and helloBurst those at once: when all hosts start together, the contacts get hellos from all of them.
+	maxHellos  = 32
+	helloRate  = 32
+	helloBurst = 128
+	// maxHelloSize is the largest hello, in bytes: a summary of maxKnownPeers hosts, or maxNamed names.
+	maxHelloSize = 16 << 10
 )
 
 // Settings configure a Peer. All are fixed for its lifetime except the contacts.
@@ -96,19 +136,35 @@
 // Stats holds counters since the start.
 type Stats struct {
 	// Followed is the number of messages received from followed hosts, Served that of
-	// messages sent, Refused that of connections refused because of maxFollowers, and
+	// messages sent, Refused that of connections refused because of a limit, and
 	// Failed that of failed dials.
 	Followed, Served, Refused, Failed atomic.Uint64
+	// Hellos is the number of hellos sent, Parents that of hosts that this one began to follow while the
+	// store answers, Displaced that of followers that gave way to others, Snapshots that of full directories sent.
+	Hellos, Parents, Displaced, Snapshots atomic.Uint64
+	// Received and Sent are the sizes of all messages, in bytes.
+	Received, Sent atomic.Uint64
 }
 
 // Peer exchanges the directory with other hosts.
 type Peer struct {
-	settings  Settings
-	peers     *peerTable
-	listener  net.Listener
-	followers atomic.Int32
-	// storeReader is the host that reads the store for this one, or nil.
+	settings Settings
+	peers    *peerTable
+	listener net.Listener
+	// hellos, followConnections and directoryFollowers count the connections of other hosts by path.
+	hellos, followConnections, directoryFollowers atomic.Int32
+	followers                                     followerSet
+	helloLimit                                    *rate.Limiter
+	// storeReader is the host that this one follows instead of reading the store, or nil. readerDepth is the number of
+	// hosts between that host and the store.
 	storeReader atomic.Pointer[netip.AddrPort]
+	readerDepth atomic.Int32
+	// source is a host that, by its hello or answer, has the directory, or nil. sourceNoted is signalled when
+	// it is set.
+	source      atomic.Pointer[netip.AddrPort]
+	sourceNoted chan struct{}
+	// heard is signalled when followers should get a message before the next heartbeat.
+	heard broadcast
 	// answeredHellos counts hellos that got an answer.
 	answeredHellos atomic.Uint64
 	// storeHeardAt is when the store last answered a followed host, in nanoseconds since the
@@ -116,9 +172,16 @@
 	storeHeardAt atomic.Int64
 	// greeted is closed when the first round of hellos is over.
 	greeted chan struct{}
-	// nextReaderAttempt is when Follow next tries to follow a store reader.
+	// nextReaderAttempt is when Follow next tries to follow a host instead of reading the store, and failedParents
+	// says when hosts last failed at that. Both belong to Follow.
 	nextReaderAttempt time.Duration
-	Stats             Stats
+	failedParents     map[netip.AddrPort]time.Duration
+	// contactedAt is when SendHellos last sent a hello to a contact, contactFactor a random part of the time until the next
+	// one, calmHellos the number of hellos without news.
+	contactedAt   time.Duration
+	contactFactor float64
+	calmHellos    int
+	Stats         Stats
 
 	// mu guards encode and the cache of the last encoded update.
 	mu          sync.Mutex
@@ -131,7 +194,7 @@
 // AnsweredHellos returns the number of hellos that were answered.
 func (p *Peer) AnsweredHellos() uint64 { return p.answeredHellos.Load() }
 
-// StoreReader returns the host that reads the store for this one. It reports false
+// StoreReader returns the host that this one follows instead of reading the store. It reports false
 // if there is none.
 func (p *Peer) StoreReader() (netip.AddrPort, bool) {
 	if r := p.storeReader.Load(); r != nil {
@@ -151,6 +214,7 @@
 	}
 	return &Peer{
 		settings: s, peers: newPeerTable(s.Control, s.Zone, s.Contacts), listener: l, encode: encodeUpdate, greeted: make(chan struct{}),
+		sourceNoted: make(chan struct{}, 1), helloLimit: rate.NewLimiter(helloRate, helloBurst), failedParents: make(map[netip.AddrPort]time.Duration),
 	}, nil
 }
 
@@ -158,6 +222,9 @@
 // host then has what the answering hosts keep of the entries that the store lost.
 func (p *Peer) Greeted() <-chan struct{} { return p.greeted }
 
+// HasSource reports whether a host is known that has the directory.
+func (p *Peer) HasSource() bool { return p.source.Load() != nil }
+
 // SetContacts replaces the contacts after a reload of the settings.
 func (p *Peer) SetContacts(contacts []netip.AddrPort) { p.peers.setContacts(contacts) }
 
@@ -173,7 +240,9 @@
 // Serve accepts connections from other hosts until the context ends.
 func (p *Peer) Serve(ctx context.Context) error {
 	mux := http.NewServeMux()
-	mux.HandleFunc(directoryPath, p.handleConnection)
+	mux.HandleFunc(helloPath, p.handleHello)
+	mux.HandleFunc(followPath, p.handleFollower)
+	mux.HandleFunc(directoryPath, p.handleDirectory)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, BaseContext: func(net.Listener) context.Context { return ctx }}
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	defer stop()
@@ -184,16 +253,16 @@
 	return eris.Wrap(err, "control listener failed")
 }
 
-// dial opens a connection, sends a hello and returns the answer.
-func (p *Peer) dial(ctx context.Context, host netip.AddrPort, follow bool) (*syncMessage, *websocket.Conn, error) {
+// dial opens a connection to a path of a host, sends a hello and returns the answer.
+func (p *Peer) dial(ctx context.Context, host netip.AddrPort, path string, h *hello) (*syncMessage, *websocket.Conn, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	ws, _, err := websocket.Dial(dialCtx, "ws://"+host.String()+directoryPath, nil)
+	ws, _, err := websocket.Dial(dialCtx, "ws://"+host.String()+path, nil)
 	if err != nil {
 		return nil, nil, eris.Wrapf(err, "can't dial host %s", host)
 	}
 	ws.SetReadLimit(maxMessage)
-	n, err := p.exchangeHello(ctx, ws, follow)
+	n, err := p.exchangeHello(ctx, ws, h)
 	if err != nil {
 		ws.CloseNow()
 		return nil, nil, err
@@ -201,11 +270,22 @@
 	return n, ws, nil
 }
 
-func (p *Peer) exchangeHello(ctx context.Context, ws *websocket.Conn, follow bool) (*syncMessage, error) {
-	if err := write(ctx, ws, &hello{Self: p.self(), Follow: follow}); err != nil {
+// dialDirectory requests the directory from a host, from a position on.
+func (p *Peer) dialDirectory(ctx context.Context, host netip.AddrPort, path string, from store.Position, keptDigest uint64) (*syncMessage, *websocket.Conn, error) {
+	h := p.helloFrom(from, nil)
+	h.KeptDigest = keptDigest
+	return p.dial(ctx, host, path, h)
+}
+
+func (p *Peer) helloFrom(at store.Position, hosts []bucket) *hello {
+	return &hello{Self: p.self(), Hosts: hosts, Era: uint64(at.Era), Revision: uint64(at.Revision)}
+}
+
+func (p *Peer) exchangeHello(ctx context.Context, ws *websocket.Conn, h *hello) (*syncMessage, error) {
+	if err := p.write(ctx, ws, h); err != nil {
 		return nil, err
 	}
-	b, err := read(ctx, ws)
+	b, err := p.read(ctx, ws)
 	if err != nil {
 		return nil, err
 	}
@@ -216,20 +296,22 @@
 	return peerInfo{Control: p.settings.Control.String(), Zone: p.settings.Zone}
 }
 
-func read(ctx context.Context, ws *websocket.Conn) ([]byte, error) {
+func (p *Peer) read(ctx context.Context, ws *websocket.Conn) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	_, b, err := ws.Read(ctx)
+	p.Stats.Received.Add(uint64(len(b)))
 	return b, err
 }
 
-func write(ctx context.Context, ws *websocket.Conn, message any) error {
+func (p *Peer) write(ctx context.Context, ws *websocket.Conn, message any) error {
 	b, err := messageCodec.Marshal(message)
 	if err != nil {
 		return eris.Wrap(err, "message can't be encoded")
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
+	p.Stats.Sent.Add(uint64(len(b)))
 	return ws.Write(ctx, websocket.MessageBinary, b)
 }
 
@@ -241,3 +323,7 @@
 	case <-timer.C:
 	}
 }
+
+// jitter returns a random duration between half and one and a half times d, so that hosts that fail
+// together do not retry together.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
--- a/internal/dsrpeer/peertable.go
+++ b/internal/dsrpeer/peertable.go
@@ -17,8 +17,9 @@
 	// maxKnownPeers is the capacity of the peer table. It holds the hosts of the largest planned zone,
 	// 814, which divide the zone's upstreams among themselves.
 	maxKnownPeers = 1024
-	// peerExpiry is the time without a sign of a host after which it is removed. A hello takes up to
-	// one helloMaxInterval to reach the zone's contact, and another one until a host asks that one.
+	// peerExpiry is the time without a sign of a host after which it is removed. The hosts of a zone hear of
+	// each other every few calmInterval. Where a host knows no other of its zone, a hello takes up to one
+	// helloMaxInterval to reach the zone's contact, and another one until a host asks that one.
 	peerExpiry = 3 * helloMaxInterval
 	// storeReadersPerZone is the number of hosts of a zone that read the store for
 	// the others; the second is the standby for a failure of the first.
@@ -32,6 +33,11 @@
 	zone     string
 	contacts []netip.AddrPort
 	hosts    map[netip.AddrPort]peerEntry
+	// sorted is the result of rankedZone; nil if hosts changed since.
+	sorted []ranked
+	// added counts the hosts of the zone that were added. news is signalled with each of them.
+	added uint64
+	news  chan struct{}
 }
 
 // peerEntry is a known host.
@@ -42,7 +48,7 @@
 }
 
 func newPeerTable(self netip.AddrPort, zone string, contacts []netip.AddrPort) *peerTable {
-	return &peerTable{self: self, zone: zone, contacts: contacts, hosts: make(map[netip.AddrPort]peerEntry)}
+	return &peerTable{self: self, zone: zone, contacts: contacts, hosts: make(map[netip.AddrPort]peerEntry), news: make(chan struct{}, 1)}
 }
 
 // add adds a host that was seen at the given time, or updates it if it was seen earlier. Hosts last
@@ -57,10 +63,27 @@
 	switch {
 	case ok && known.lastSeen >= seen:
 		return
-	case !ok && len(t.hosts) >= maxKnownPeers:
-		t.evictOldest()
+	case !ok && len(t.hosts) >= maxKnownPeers && !t.evictOldest(zone):
+		return
 	}
 	t.hosts[a] = peerEntry{zone, seen}
+	if !ok || known.zone != zone {
+		t.sorted = nil
+	}
+	if !ok && zone == t.zone {
+		t.added++
+		select {
+		case t.news <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// addedHosts returns the number of hosts of the zone that were added since the start.
+func (t *peerTable) addedHosts() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.added
 }
 
 // addNamed adds the hosts named by another one, unless the table is full, and updates known ones. The
@@ -81,21 +104,28 @@
 	}
 }
 
-func (t *peerTable) evictOldest() {
-	var oldest netip.AddrPort
+// evictOldest makes room for a host of a zone: it removes the oldest host of another zone than this
+// host's, or else, for one of this host's zone, the oldest of all. The caller holds the lock.
+func (t *peerTable) evictOldest(forZone string) bool {
+	var oldest, oldestForeign netip.AddrPort
 	for a, e := range t.hosts {
 		if !oldest.IsValid() || e.lastSeen < t.hosts[oldest].lastSeen {
 			oldest = a
 		}
+		if e.zone != t.zone && (!oldestForeign.IsValid() || e.lastSeen < t.hosts[oldestForeign].lastSeen) {
+			oldestForeign = a
+		}
 	}
-	delete(t.hosts, oldest)
-}
-
-// remove removes a host that did not answer. Its next hello adds it again.
-func (t *peerTable) remove(a netip.AddrPort) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.hosts, a)
+	switch {
+	case oldestForeign.IsValid():
+		delete(t.hosts, oldestForeign)
+	case forZone == t.zone:
+		delete(t.hosts, oldest)
+		t.sorted = nil
+	default:
+		return false
+	}
+	return true
 }
 
 // setContacts replaces the configured contacts.
@@ -110,6 +140,7 @@
 	for a, e := range t.hosts {
 		if now-e.lastSeen > peerExpiry {
 			delete(t.hosts, a)
+			t.sorted = nil
 		}
 	}
 }
@@ -179,28 +210,6 @@
 	return all[:min(len(all), maxPeers)]
 }
 
-// storeReaders returns the hosts of this host's zone that should read the store for
-// it, or none if this host is one of them. All hosts rank the hosts of a zone
-// in the same order; where their tables differ, more hosts than necessary read the store.
-func (t *peerTable) storeReaders(now time.Duration) []netip.AddrPort {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.expire(now)
-	ranked := []netip.AddrPort{t.self}
-	for a, e := range t.hosts {
-		if e.zone == t.zone {
-			ranked = append(ranked, a)
-		}
-	}
-	slices.SortFunc(ranked, func(x, y netip.AddrPort) int { return cmp.Compare(rank(x), rank(y)) })
-	ranked = ranked[:min(len(ranked), storeReadersPerZone)]
-	if slices.Contains(ranked, t.self) {
-		return nil
-	}
-	shuffle(ranked)
-	return ranked
-}
-
 // position returns the place of this host among the known hosts of its zone.
 func (t *peerTable) position(now time.Duration) loadcontrol.Position {
 	t.mu.Lock()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -21,6 +21,10 @@
 // before it is dropped. A dropped subscriber starts over with a snapshot.
 const subscriberQueueSize = 32
 
+// recentEvents is the number of events that are kept for subscribers that know all earlier ones:
+// those of 30 s while 30 upstreams a second are replaced.
+const recentEvents = 1024
+
 // Update is a snapshot of the store's items or the changes since an earlier revision.
 type Update struct {
 	// Full marks a snapshot: Events holds all existing items, and others are deleted.
@@ -57,6 +61,9 @@
 	// changes counts the changes of items and kept.
 	changes     uint64
 	subscribers map[*Subscription]struct{}
+	// recent holds the last events of the current era, all after recentFrom.
+	recent     []store.Event
+	recentFrom store.Revision
 }
 
 // Subscription receives the updates that follow a snapshot. The channel is closed by
@@ -96,8 +103,10 @@
 		return Update{}, false
 	default:
 		if newer {
+			kept := len(r.kept) > 0
 			events = r.applyEvents(u.Events)
 			r.position = u.Position()
+			r.remember(events, kept)
 		}
 		events = append(events, r.keepLost(u.Events)...)
 		if !newer && len(events) == 0 {
@@ -128,6 +137,7 @@
 		}
 	}
 	r.position = u.Position()
+	r.recent, r.recentFrom = nil, u.AtRevision
 	r.items, r.kept = make(map[string]store.Entry, len(u.Events)), make(map[string]store.Entry)
 	for i := range u.Events {
 		if e := u.Events[i].Entry; e.Era == u.Era {
@@ -228,13 +238,45 @@
 // stored entries behind kept ones too, since the replica of its receiver counts as complete.
 // The snapshot is empty, at the zero position, if the replica has no data yet.
 func (r *Replica) Subscribe() (Update, *Subscription) {
+	return r.SubscribeAfter(store.Position{}, 0)
+}
+
+// SubscribeAfter is like Subscribe for a receiver whose replica is complete up to a position, and whose
+// kept entries have the digest: it returns the changes since then, if the last events suffice, in place of the
+// snapshot. They have no events if the receiver is not behind.
+func (r *Replica) SubscribeAfter(held store.Position, keptDigest uint64) (Update, *Subscription) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	snapshot := r.snapshot()
-	snapshot.Events = append(snapshot.Events, r.shadowed()...)
 	s := &Subscription{C: make(chan Update, subscriberQueueSize)}
 	r.subscribers[s] = struct{}{}
-	return snapshot, s
+	if held.IsZero() || held.Era != r.position.Era || held.Revision < r.recentFrom || keptDigest != 0 || len(r.kept) > 0 {
+		snapshot := r.snapshot()
+		snapshot.Events = append(snapshot.Events, r.shadowed()...)
+		return snapshot, s
+	}
+	changes := Update{Era: r.position.Era, AtRevision: r.position.Revision, Change: r.changes}
+	for _, e := range r.recent {
+		if e.Entry.Modified > held.Revision {
+			changes.Events = append(changes.Events, e)
+		}
+	}
+	return changes, s
+}
+
+// remember keeps applied events for SubscribeAfter. If there were kept entries, the stored ones don't follow
+// from the events.
+func (r *Replica) remember(events []store.Event, kept bool) {
+	if kept {
+		r.recent, r.recentFrom = nil, r.position.Revision
+		return
+	}
+	r.recent = append(r.recent, events...)
+	if over := len(r.recent) - recentEvents; over > 0 {
+		for _, e := range r.recent[:over] {
+			r.recentFrom = max(r.recentFrom, e.Entry.Modified)
+		}
+		r.recent = slices.Clone(r.recent[over:])
+	}
 }
 
 // Unsubscribe ends a subscription and closes its channel.
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -227,3 +227,50 @@
 	_, _ = started.DropExpired()
 	require.Equal(t, map[string]string{"a": "1"}, contents(started))
 }
+
+// A subscriber that has the directory up to a recent position gets the changes since; one that lacks
+// more, or that keeps something else, gets the snapshot.
+func TestSubscriberGetsChangesSinceItsPosition(t *testing.T) {
+	r, _ := newReplica()
+	follower, _ := newReplica()
+	full := Update{Full: true, Era: 1, AtRevision: 10, Events: []store.Event{value("a", "1", 1, 5), value("b", "1", 1, 6)}}
+	r.Apply(full)
+	follower.Apply(full)
+	r.Apply(Update{Era: 1, AtRevision: 12, Events: []store.Event{value("a", "2", 1, 11), {Entry: store.Entry{Key: "b", Era: 1, Modified: 12}, Deleted: true}}})
+	r.Apply(Update{Era: 1, AtRevision: 14, Events: []store.Event{value("c", "1", 1, 13)}})
+	after := func(p store.Position, kept uint64) Update {
+		u, s := r.SubscribeAfter(p, kept)
+		r.Unsubscribe(s)
+		return u
+	}
+	u := after(follower.Position(), follower.KeptDigest())
+	require.False(t, u.Full)
+	require.Len(t, u.Events, 3)
+	follower.Apply(u)
+	require.Equal(t, contents(r), contents(follower))
+	require.Equal(t, r.Position(), follower.Position())
+	require.Empty(t, after(r.Position(), 0).Events)
+	require.False(t, after(store.Position{Era: 1, Revision: 20}, 0).Full, "it is ahead")
+	require.True(t, after(store.Position{Era: 1, Revision: 9}, 0).Full, "too old")
+	require.True(t, after(store.Position{Era: 2, Revision: 14}, 0).Full)
+	require.True(t, after(r.Position(), 7).Full, "it keeps what this one does not")
+	for n := range store.Revision(recentEvents + 5) {
+		r.Apply(Update{Era: 1, AtRevision: 20 + n, Events: []store.Event{value("d", "1", 1, 20+n)}})
+	}
+	require.True(t, after(follower.Position(), 0).Full)
+	require.Len(t, after(store.Position{Era: 1, Revision: 24}, 0).Events, recentEvents)
+}
+
+// A removal behind a kept entry is no event, so events can't replace the snapshot after it.
+func TestSubscriberGetsSnapshotAfterKeptEntries(t *testing.T) {
+	r, now := newReplica()
+	r.Apply(Update{Full: true, Era: 1, AtRevision: 10, Events: []store.Event{value("a", "2", 1, 9)}})
+	r.Apply(Update{Full: true, Era: 2, AtRevision: 5, Events: []store.Event{value("a", "1", 2, 4)}})
+	require.Equal(t, 1, r.Kept())
+	r.Apply(Update{Era: 2, AtRevision: 6, Events: []store.Event{{Entry: store.Entry{Key: "a", Era: 2, Modified: 6}, Deleted: true}}})
+	*now += directory.RewriteTime
+	r.DropExpired()
+	u, s := r.SubscribeAfter(store.Position{Era: 2, Revision: 5}, 0)
+	r.Unsubscribe(s)
+	require.True(t, u.Full)
+}
