--- a/internal/dsrpeer/coldowners_test.go
+++ b/internal/dsrpeer/coldowners_test.go
@@ -35,7 +35,7 @@
 	for _, a := range h.table.helloOrder(own) {
 		to := all[a]
 		if to == nil || to.stalled || to.side != h.side {
-			h.table.remove(a)
+			h.table.retire(a)
 			continue
 		}
 		theirs := now - to.started
--- a/internal/dsrpeer/zonehosts_test.go
+++ b/internal/dsrpeer/zonehosts_test.go
@@ -17,10 +17,10 @@
 	table.add(start, start, address(2), "a")
 	table.add(start, start, address(3), "a")
 	table.add(start, start, address(4), "b")
-	table.remove(address(2))
+	table.retire(address(2))
 	table.add(start, start, address(2), "a")
 	require.Empty(t, table.former)
-	table.remove(address(2))
+	table.retire(address(2))
 	for _, c := range []struct {
 		at                  time.Duration
 		hosts, known, heard int
