--- a/internal/dsr/servewaiting.go
+++ b/internal/dsr/servewaiting.go
@@ -62,6 +62,11 @@
 
 func (c *Core) serveService(now time.Duration, s *service) {
 	for e := s.queue.Expired(now); e != nil; e = s.queue.Expired(now) {
+		if w := e.Value; w.upstream != nil && w.copyAt != 0 && now-w.copyAt <= copyIsRecent {
+			// The caller waits for longer than its route declares.
+			c.serve(now, w)
+			continue
+		}
 		// The caller ends its attempt by itself, unless the service is overloaded and it can be told so.
 		c.endWait(now, e.Value, e.Rejectable && c.overloaded(now, s, loadcontrol.Class{}), "the caller gives up")
 	}
--- a/internal/dsr/waiting.go
+++ b/internal/dsr/waiting.go
@@ -23,6 +23,9 @@
 	// attemptReserve is the part of an attempt that is left for the handshake when a waiting SYN is
 	// rejected.
 	attemptReserve = 100 * time.Millisecond
+	// copyIsRecent is the time before the end of a wait in which a copy of the packet shows that the caller has not given
+	// up: it may be sent at the deadline that the route declares.
+	copyIsRecent = 20 * time.Millisecond
 	// waitingInterval is how often the core is called while requests wait: for limits below one request,
 	// deadlines, and upstreams that stop answering.
 	waitingInterval = 5 * time.Millisecond
@@ -48,10 +51,12 @@
 	upstream *upstream
 	class    loadcontrol.Class
 	since    time.Duration
-	links    list.Links[waitingRequest]
-	rank     int
-	packets  []waitingPacket
-	bytes    int
+	// copyAt is when a copy of a packet that waits last came; zero is never.
+	copyAt  time.Duration
+	links   list.Links[waitingRequest]
+	rank    int
+	packets []waitingPacket
+	bytes   int
 }
 
 // waitingPacket is a packet whose bytes the shell keeps.
@@ -104,7 +109,7 @@
 		c.dropWaiting(w)
 		return Effect{}, false
 	case w != nil && p.Length > 0:
-		return c.holdBehind(w, p), true
+		return c.holdBehind(now, w, p), true
 	case w != nil || p.Length == 0 || c.waiting.draining:
 		return Effect{}, false
 	}
@@ -112,7 +117,7 @@
 	s := u.service
 	// The first request of a flow takes the slot that was kept for it when the flow was opened.
 	isRequest := f.phase == phaseIdle && f.answered && !f.pending && int32(p.Seq+uint32(p.Length)-f.nextSeq) > 0
-	if !isRequest || !s.schedules() || u.gone || f.route == nil {
+	if !isRequest || !s.schedules() || u.gone || f.route == nil || f.waitedInVain {
 		return Effect{}, false
 	}
 	if u.line.Len() == 0 && c.hasRoomOnFlow(now, s, u) || u.stalled(now) {
@@ -123,9 +128,10 @@
 }
 
 // holdBehind makes a packet wait behind another one of its flow.
-func (c *Core) holdBehind(w *waitingRequest, p *Packet) Effect {
+func (c *Core) holdBehind(now time.Duration, w *waitingRequest, p *Packet) Effect {
 	last := &w.packets[len(w.packets)-1].header
 	if int32(p.Seq-(last.Seq+uint32(last.Length))) < 0 || len(w.packets) >= maxWaitingPackets {
+		w.copyAt = now
 		return Effect{Action: Drop, Reason: ReasonWaitingCopy}
 	}
 	return c.keepPacket(w, p, ReasonWaiting)
@@ -265,6 +271,9 @@
 	for i := range w.packets {
 		c.release(w, i, e)
 	}
+	if f := c.cache.flows[w.key]; f != nil && w.upstream != nil {
+		f.waitedInVain = true
+	}
 	c.recycle(w)
 }
 
--- a/internal/dsr/waiting_test.go
+++ b/internal/dsr/waiting_test.go
@@ -300,3 +300,18 @@
 		require.NotEqual(t, Hold, f.caller(streamPort).sendSYN().Action)
 	}
 }
+
+// Guards against a caller with a longer deadline than its route declares that waits anew each time.
+func TestRequestThatWaitedInVainGoesOnWhenSentAgain(t *testing.T) {
+	f := schedulingFixture(t)
+	idle, _ := f.fillFlows()
+	require.Equal(t, Hold, idle[0].request().Action)
+	hold, dropped := idle[0].last.Hold, false
+	for range 32 {
+		for _, r := range f.passBusy(100 * time.Millisecond) {
+			dropped = dropped || r.Hold == hold && r.Effect.Action == Drop
+		}
+	}
+	require.True(t, dropped)
+	require.Equal(t, Forward, idle[0].retransmit().Action)
+}
