mimosad, mimosad-dsr, soak: signals during the start and hang-ups do not end hosts

Cause: programs caught signals after parsing the command line, and mimosad only when it served, so that a signal before that ended it.

Change: all programs catch signals before anything else. mimosad logs a hang-up and goes on. The soak waits for the first output of a host before it signals it, and each of its processes has a process group of its own.

--- a/cmd/mimosa-soak/main.go
+++ b/cmd/mimosa-soak/main.go
@@ -44,10 +44,10 @@
 func (arguments) Version() string { return buildinfo.Version("mimosa-soak") }
 
 func main() {
-	var args arguments
-	cmdline.MustParse(&args)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	var args arguments
+	cmdline.MustParse(&args)
 	if err := args.run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "mimosa-soak:", err)
 		os.Exit(1)
--- a/cmd/mimosa-standin/main.go
+++ b/cmd/mimosa-standin/main.go
@@ -40,14 +40,14 @@
 }
 
 func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
 	var args arguments
 	parser := cmdline.MustParse(&args)
 	chosen, ok := parser.Subcommand().(command)
 	if !ok {
 		parser.Fail("a subcommand is needed")
 	}
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
 	err := chosen.run(ctx)
 	if err == nil {
 		return
--- a/cmd/mimosad-dsr/main.go
+++ b/cmd/mimosad-dsr/main.go
@@ -44,18 +44,20 @@
 func (arguments) Version() string { return buildinfo.Version("mimosad-dsr") }
 
 func main() {
+	// Signals are caught before anything else, since an uncaught SIGTERM or SIGHUP ends the process
+	// with an error.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	var args arguments
 	cmdline.MustParse(&args)
 	if args.State != "" {
+		signal.Reset()
 		if err := printState(args.State); err != nil {
 			fmt.Fprintln(os.Stderr, "mimosad-dsr:", err)
 			os.Exit(exitFailed)
 		}
 		return
 	}
-	// Signals are caught before the settings are read, since an uncaught SIGHUP would end the process.
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	path := args.Settings
 	if path == "" {
 		path = platform.SettingsPath()
--- a/cmd/mimosad/main.go
+++ b/cmd/mimosad/main.go
@@ -11,8 +11,6 @@
 	"syscall"
 	"time"
 
-	"go.uber.org/zap"
-
 	"mimosashore.example/mimosashore/internal/admin"
 	"mimosashore.example/mimosashore/internal/buildinfo"
 	"mimosashore.example/mimosashore/internal/cmdline"
@@ -39,13 +37,17 @@
 
 // Description returns the text at the head of the help.
 func (arguments) Description() string {
-	return "An entry host of mimosashore. SIGTERM begins a planned stop, a second signal ends the host at once."
+	return "An entry host of mimosashore. SIGTERM begins a planned stop, a second signal ends the host at once. SIGHUP changes nothing."
 }
 
 // Version returns the line printed by --version.
 func (arguments) Version() string { return buildinfo.Version("mimosad") }
 
 func main() {
+	// Signals are caught before anything else, since an uncaught SIGTERM or SIGHUP ends the process
+	// with an error.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	var args arguments
 	parser := cmdline.MustParse(&args)
 	path := args.Settings
@@ -63,7 +65,7 @@
 	if args.Check != "" {
 		return
 	}
-	if err := run(s); err != nil {
+	if err := run(s, signals); err != nil {
 		fmt.Fprintln(os.Stderr, "mimosad:", err)
 		os.Exit(exitFailed)
 	}
@@ -80,7 +82,7 @@
 }
 
 // run serves until a planned stop has finished or a component of the host fails.
-func run(s *settings.Settings) error {
+func run(s *settings.Settings, signals <-chan os.Signal) error {
 	logger, err := logging.New(s.Log, os.Stderr)
 	if err != nil {
 		return err
@@ -118,7 +120,7 @@
 		host.Close()
 		return err
 	}
-	go stopOnSignal(ctx, cancel, host, logger)
+	go stopOnSignal(ctx, cancel, host, signals, logging.ForComponent(logger, "host"))
 	serverErr := make(chan error, 1)
 	go func() {
 		serverErr <- server.Run(ctx)
@@ -129,27 +131,35 @@
 	return errors.Join(err, <-serverErr)
 }
 
-// stopOnSignal starts a planned stop on the first SIGTERM or SIGINT. A second
-// signal ends the host without waiting for the remaining work.
-func stopOnSignal(ctx context.Context, cancel context.CancelFunc, host *daemon.Daemon, logger *zap.Logger) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
-	select {
-	case <-ctx.Done():
-		return
-	case <-signals:
-	}
+// stopOnSignal starts a planned stop on the first SIGTERM or SIGINT. A second one
+// ends the host without waiting for the remaining work. SIGHUP is logged only: the
+// settings are read once, and the end of a terminal must not end a host.
+func stopOnSignal(ctx context.Context, cancel context.CancelFunc, host *daemon.Daemon, signals <-chan os.Signal, log logging.Logger) {
 	stopCtx, endStop := context.WithCancel(ctx)
 	defer endStop()
-	go func() {
+	stopped := make(chan struct{})
+	stopping := false
+	for {
 		select {
-		case <-signals:
-			logging.ForComponent(logger, "host").Warn("second signal, the host ends at once")
-			endStop()
-		case <-stopCtx.Done():
+		case <-ctx.Done():
+			return
+		case <-stopped:
+			cancel()
+			return
+		case s := <-signals:
+			switch {
+			case s == syscall.SIGHUP:
+				log.Warn("hang-up ignored, settings are read at the start only")
+			case stopping:
+				log.Warn("second signal, the host ends at once")
+				endStop()
+			default:
+				stopping = true
+				go func() {
+					defer close(stopped)
+					host.Stop(stopCtx)
+				}()
+			}
 		}
-	}()
-	host.Stop(stopCtx)
-	cancel()
+	}
 }
--- a/internal/soak/network_test.go
+++ b/internal/soak/network_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -65,3 +66,26 @@
 	require.ErrorContains(t, err, "exited")
 	require.ErrorContains(t, err, "can not listen")
 }
+
+// Guards against a planned stop that ends a process by the signal, since the process is still starting
+// and has not installed its handlers.
+func TestStopWaitsForHandlersOfStartingProcess(t *testing.T) {
+	p, err := newProcess("host-7", filepath.Join(t.TempDir(), "out"), "/bin/sh", nil, "-c", "sleep 0.5; trap 'exit 0' TERM; echo '{}'; while :; do sleep 0.05; done")
+	require.NoError(t, err)
+	defer p.killAndClose()
+	e := &platformEnv{record: newRecord()}
+	require.NoError(t, e.startHost(&host{process: p}))
+	require.NoError(t, p.stop(stopTimeout))
+}
+
+// Guards against a hang-up that the kernel sends to a paused host when the shell that shares its process
+// group ends.
+func TestProcessHasGroupOfItsOwn(t *testing.T) {
+	p, err := newProcess("host-7", filepath.Join(t.TempDir(), "out"), "/bin/sh", nil, "-c", "while :; do sleep 0.05; done")
+	require.NoError(t, err)
+	defer p.killAndClose()
+	require.NoError(t, p.start())
+	group, err := syscall.Getpgid(p.cmd.Process.Pid)
+	require.NoError(t, err)
+	require.Equal(t, p.cmd.Process.Pid, group)
+}
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -39,8 +39,9 @@
 	// silentWatchTime is the time that watches receive no events before the
 	// store discards its history.
 	silentWatchTime = time.Second
-	// signalDelay is the time from the start of a process to its first signal.
-	// Until the Go runtime has installed its handlers, any signal ends the process.
+	// signalDelay is the shortest time from the start of a process to its first signal. Until the
+	// program has installed its handlers, any signal ends the process; that took 20 ms on a busy
+	// machine, and more than signalDelay in one run, so the first output is awaited too.
 	signalDelay = 100 * time.Millisecond
 	// readyTimeout limits the wait for a process to become ready.
 	readyTimeout = 20 * time.Second
@@ -154,14 +155,17 @@
 	return nil
 }
 
-// startHost starts the process of a host, records the start, and waits for
-// signalDelay.
+// startHost starts the process of a host, records the start, and waits until it takes signals.
 func (e *platformEnv) startHost(h *host) error {
-	defer time.Sleep(signalDelay)
 	e.record.mu.Lock()
 	e.record.hostRuns = append(e.record.hostRuns, hostRun{host: h.data, from: time.Now()})
 	e.record.mu.Unlock()
-	return h.start()
+	if err := h.start(); err != nil {
+		return err
+	}
+	time.Sleep(signalDelay)
+	h.awaitOutput(readyTimeout)
+	return nil
 }
 
 // recordEnd records the end of the latest run of a host.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -17,6 +17,9 @@
 	"github.com/rotisserie/eris"
 )
 
+// outputPollInterval is the time between two looks at the output of a process.
+const outputPollInterval = 5 * time.Millisecond
+
 // process is a program started by the soak run. Only processes that the run
 // started itself are signalled, by their handles.
 type process struct {
@@ -35,6 +38,8 @@
 	started time.Time
 	// exitExpected is set once the soak run has sent a terminating signal.
 	exitExpected bool
+	// writtenBefore is the size of the output at the start of the current run.
+	writtenBefore int64
 	// peakBytes is the largest resident set size of all runs, read before each
 	// terminating signal.
 	peakBytes int
@@ -57,10 +62,17 @@
 	cmd := exec.Command(p.path, p.args...)
 	cmd.Env = append(os.Environ(), p.env...)
 	cmd.Stdout, cmd.Stderr = p.output, p.output
+	// A process group of its own: when the shell of a shared group ends, the kernel sends a hang-up to
+	// members that are paused at that moment.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	written, err := p.output.Seek(0, io.SeekEnd)
+	if err != nil {
+		return eris.Wrapf(err, "output of %s can't be read", p.name)
+	}
 	if err := cmd.Start(); err != nil {
 		return eris.Wrapf(err, "%s can't be started", p.name)
 	}
-	p.cmd, p.done, p.exitExpected, p.started = cmd, make(chan struct{}), false, time.Now()
+	p.cmd, p.done, p.exitExpected, p.started, p.writtenBefore = cmd, make(chan struct{}), false, time.Now(), written
 	go p.wait(cmd, p.done)
 	return nil
 }
@@ -77,6 +89,22 @@
 	close(done)
 }
 
+// awaitOutput waits until the current run has written output or exited, at most for the timeout.
+// A program that writes has installed its signal handlers.
+func (p *process) awaitOutput(timeout time.Duration) {
+	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); {
+		info, err := p.output.Stat()
+		if err != nil || info.Size() > p.writtenBefore {
+			return
+		}
+		select {
+		case <-p.exited():
+			return
+		case <-time.After(outputPollInterval):
+		}
+	}
+}
+
 // signal sends a signal; expectExit is set for a signal that terminates the process.
 func (p *process) signal(s os.Signal, expectExit bool) error {
 	p.mu.Lock()
