soak: networks stay claimed while processes of a run live; hosts say what they lack

Cause: the claim of a loopback network ended with the soak itself, so that hosts that outlived a killed run kept addresses that the next run took. The error for a host that was not ready named no cause.

Change: processes of a run hold the claim too. The state of mimosad-dsr has `lacks` (configuration, directory of upstreams), and the soak reports it; a host that exited during the start ends the run at once. mimosa-standin await reports the last state of the host. The error of a run names its logs.

Measured: TestNetworkIsClaimedWhileProcessOfRunLives failed without the held claim and passes; TestRunNamesWhatHostLacks passes.

--- a/cmd/mimosa-soak/main.go
+++ b/cmd/mimosa-soak/main.go
@@ -67,7 +67,7 @@
 	for seed := a.Seed; seed < a.Seed+a.Seeds && ctx.Err() == nil; seed++ {
 		ok, err := a.runSeed(ctx, seed, filepath.Join(dir, fmt.Sprint(seed)))
 		if err != nil {
-			return eris.Wrapf(err, "seed %d could not be run", seed)
+			return eris.Wrapf(err, "seed %d could not be run, logs are in %s", seed, dir)
 		}
 		if !ok {
 			failed++
--- a/cmd/mimosa-standin/await.go
+++ b/cmd/mimosa-standin/await.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -54,15 +55,21 @@
 func (c *awaitCommand) awaitHost(ctx context.Context, url string) (time.Time, error) {
 	ticker := time.NewTicker(awaitInterval)
 	defer ticker.Stop()
+	last := "no answer yet"
 	for {
-		if state, err := readState(ctx, url); err == nil {
+		state, err := readState(ctx, url)
+		switch {
+		case err == nil:
 			if at, ok := c.conditionMet(state, time.Now()); ok {
 				return at, nil
 			}
+			last = cmp.Or(state.NotReady, "ready")
+		case ctx.Err() == nil:
+			last = err.Error()
 		}
 		select {
 		case <-ctx.Done():
-			return time.Time{}, eris.Errorf("host %s did not meet the condition (document %q, revision %d) within %s", url, c.Document, c.Revision, c.Timeout)
+			return time.Time{}, eris.Errorf("host %s did not meet the condition (document %q, revision %d) within %s, its state: %s", url, c.Document, c.Revision, c.Timeout, last)
 		case <-ticker.C:
 		}
 	}
--- a/internal/dsr/state.go
+++ b/internal/dsr/state.go
@@ -8,7 +8,9 @@
 
 // State is the state of a core as shown to operators. Times are in milliseconds.
 type State struct {
-	Ready                 bool     `json:"ready"`
+	Ready bool `json:"ready"`
+	// Lacks names what a host that is not ready has not received yet.
+	Lacks                 []string `json:"lacks,omitempty"`
 	Version               uint64   `json:"configuration_version"`
 	ConfigurationEra      uint64   `json:"configuration_era"`
 	ConfigurationRevision uint64   `json:"configuration_revision"`
@@ -67,7 +69,7 @@
 func (c *Core) State(now time.Duration) *State {
 	c.advance(now)
 	s := &State{
-		Ready: c.Ready(), Version: c.version, ConfigurationEra: uint64(c.configEra), ConfigurationRevision: uint64(c.configRevision), Routes: len(c.routes), Flows: len(c.cache.flows),
+		Ready: c.Ready(), Lacks: c.lacks(), Version: c.version, ConfigurationEra: uint64(c.configEra), ConfigurationRevision: uint64(c.configRevision), Routes: len(c.routes), Flows: len(c.cache.flows),
 		StoreDown: c.storeDown, StoreAnswerAgeMs: (now - c.storeAnsweredAt).Milliseconds(), OwnLinkSuspected: c.linkMonitor.suspected(now),
 		SuspectZones: []string{}, Services: []ServiceState{}, Upstreams: make([]UpstreamState, 0, len(c.byKey)+len(c.goneList)),
 	}
@@ -100,6 +102,18 @@
 	return s
 }
 
+// lacks names what the core needs to be ready.
+func (c *Core) lacks() []string {
+	var lacks []string
+	if !c.configured {
+		lacks = append(lacks, "configuration")
+	}
+	if !c.complete {
+		lacks = append(lacks, "directory of upstreams")
+	}
+	return lacks
+}
+
 func (u *upstream) state(now time.Duration) UpstreamState {
 	s := UpstreamState{
 		Key: u.Key, Service: u.Service, Zone: u.Zone, To: u.Addr.String(), Token: u.token, Era: uint64(u.Era), Revision: uint64(u.Revision),
--- a/internal/dsrhost/state.go
+++ b/internal/dsrhost/state.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -94,6 +95,9 @@
 func (s *State) WriteText(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(t, "host %s in %s: ready %t, leaving %t\n", s.Name, s.Zone, s.Ready, s.Leaving)
+	if len(s.Lacks) > 0 {
+		fmt.Fprintf(t, "lacks: %s\n", strings.Join(s.Lacks, ", "))
+	}
 	fmt.Fprintf(t, "configuration version %d of era %d, revision %d with %d routes; %d flows\n", s.Version, s.ConfigurationEra, s.ConfigurationRevision, s.Routes, s.Flows)
 	fmt.Fprintf(t, "store: era %d, revision %d, %d lost entries kept, heard %d ms ago, down %t, read by %s; %d hosts known\n",
 		s.Era, s.Revision, s.Kept, s.StoreAnswerAgeMs, s.StoreDown, cmp.Or(s.Reader, "this host"), s.Peers)
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -1,10 +1,12 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -70,11 +72,28 @@
 	if err := h.writeSettings(h.validSettings); err != nil {
 		return nil, err
 	}
-	h.process, err = newProcess(h.name, filepath.Join(d.logDir, h.name+".log"), filepath.Join(d.programs, "mimosad-dsr"), nil,
+	h.process, err = newProcess(h.name, filepath.Join(d.logDir, h.name+".log"), filepath.Join(d.programs, "mimosad-dsr"), d.network.held,
 		"--settings", h.settingsPath, "--metrics-port", fmt.Sprint(hostAdminPort))
 	return h, err
 }
 
+// stateURL returns the URL of the host's state.
+func (h *host) stateURL() string {
+	return "http://" + netip.AddrPortFrom(h.data.Addr(), hostAdminPort).String() + "/state"
+}
+
+// lacks returns what the host says that it has not received yet.
+func (h *host) lacks(ctx context.Context) string {
+	var state struct{ Lacks []string }
+	switch err := get(ctx, h.stateURL(), &state); {
+	case err != nil:
+		return "its state is not known: " + err.Error()
+	case len(state.Lacks) == 0:
+		return "it lacks nothing"
+	}
+	return "it lacks " + strings.Join(state.Lacks, ", ")
+}
+
 func (h *host) writeSettings(b []byte) error {
 	return eris.Wrap(os.WriteFile(h.settingsPath, b, 0o600), "settings can't be written")
 }
--- a/internal/soak/network.go
+++ b/internal/soak/network.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
 	"syscall"
 
 	"github.com/rotisserie/eris"
@@ -26,7 +27,10 @@
 // network is a loopback network 127.n.0.0/16 of which no other run on this machine uses an address.
 type network struct {
 	octet byte
-	claim net.Listener
+	claim *net.TCPListener
+	// held is the claim as a file. The processes of the run hold it too, so that processes that
+	// outlive a killed run keep the network claimed.
+	held *os.File
 }
 
 // claimNetwork takes the first network that no run uses, starting at one that depends on the seed.
@@ -38,6 +42,10 @@
 		l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(n.addr(255, 254, claimPort)))
 		if err == nil {
 			n.claim = l
+			if n.held, err = l.File(); err != nil {
+				l.Close()
+				return nil, eris.Wrapf(err, "claim of loopback network %s0.0 can't be shared", n.prefix())
+			}
 			return n, nil
 		}
 		if !errors.Is(err, syscall.EADDRINUSE) {
@@ -47,8 +55,11 @@
 	return nil, eris.Errorf("all %d loopback networks are in use by other runs", networkCount)
 }
 
-// release makes the network available to other runs.
-func (n *network) release() { n.claim.Close() }
+// release makes the network available to other runs once no process holds the claim.
+func (n *network) release() {
+	n.claim.Close()
+	n.held.Close()
+}
 
 // addr returns an address of the network by its third and fourth octets.
 func (n *network) addr(third, fourth byte, port uint16) netip.AddrPort {
--- a/internal/soak/network_test.go
+++ b/internal/soak/network_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"mimosashore.example/mimosashore/internal/standin/dsrworld"
 )
 
 func TestRunsClaimDifferentNetworks(t *testing.T) {
@@ -67,6 +69,44 @@
 	require.ErrorContains(t, err, "can not listen")
 }
 
+// Guards against a run that says only that a host is not ready, but not what it waits for.
+func TestRunNamesWhatHostLacks(t *testing.T) {
+	s := dsrworld.NewStore()
+	defer s.Close()
+	n, err := claimNetwork(9)
+	require.NoError(t, err)
+	defer n.release()
+	d := deployment{network: n, store: s.Addr(), logDir: t.TempDir(), programs: programs, applyWithin: applyStrict, zones: []string{"zone-a"}}
+	h, err := d.newHost(0, nil)
+	require.NoError(t, err)
+	defer h.store.close()
+	require.NoError(t, (&platformEnv{record: newRecord()}).startHost(h))
+	defer h.killAndClose()
+	require.Eventually(t, func() bool { return h.lacks(t.Context()) == "it lacks configuration" }, readyTimeout, 10*time.Millisecond, "the directory is empty, but read")
+	s.Put(dsrworld.ConfigurationKey, dsrworld.Configuration(1, []any{dsrworld.Route("feed", feedRoute, "safe", feedService)}))
+	require.Eventually(t, func() bool { return h.lacks(t.Context()) == "it lacks nothing" }, readyTimeout, 10*time.Millisecond)
+}
+
+// Guards against two runs that share addresses: hosts that outlive a killed run still use its network.
+func TestNetworkIsClaimedWhileProcessOfRunLives(t *testing.T) {
+	first, err := claimNetwork(11)
+	require.NoError(t, err)
+	p, err := newProcess("host-7", filepath.Join(t.TempDir(), "out"), "/bin/sleep", first.held, "60")
+	require.NoError(t, err)
+	defer p.killAndClose()
+	require.NoError(t, p.start())
+	first.release()
+	second, err := claimNetwork(uint64(first.octet) - firstNetwork)
+	require.NoError(t, err)
+	require.NotEqual(t, first.octet, second.octet)
+	second.release()
+	p.kill()
+	third, err := claimNetwork(uint64(first.octet) - firstNetwork)
+	require.NoError(t, err)
+	require.Equal(t, first.octet, third.octet)
+	third.release()
+}
+
 // Guards against a planned stop that ends a process by the signal, since the process is still starting
 // and has not installed its handlers.
 func TestStopWaitsForHandlersOfStartingProcess(t *testing.T) {
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -187,8 +187,8 @@
 		switch {
 		case e.rotation.includes(i):
 			i++
-		case time.Now().After(deadline):
-			return eris.Errorf("%s was not ready within %s: %s; readiness check: %s", e.hosts[i].name, readyTimeout, e.hosts[i].describe(), e.rotation.lastPoll(i))
+		case time.Now().After(deadline) || e.hosts[i].hasExited():
+			return eris.Errorf("%s was not ready within %s: %s; %s; readiness check: %s", e.hosts[i].name, readyTimeout, e.hosts[i].lacks(ctx), e.hosts[i].describe(), e.rotation.lastPoll(i))
 		default:
 			sleep(ctx, readyPollInterval/10)
 		}
--- a/internal/soak/platformfaults.go
+++ b/internal/soak/platformfaults.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
-	"net/netip"
 	"slices"
 	"sync"
 	"syscall"
@@ -204,9 +202,7 @@
 // readerOf returns the index of the host that reads the store for a host, or -1.
 func (e *platformEnv) readerOf(h *host) int {
 	var state struct{ Reader string }
-	admin := netip.AddrPortFrom(h.data.Addr(), hostAdminPort)
-	request, err := http.NewRequest(http.MethodGet, "http://"+admin.String()+"/state", nil)
-	if err != nil || do(request, &state) != nil {
+	if get(context.Background(), h.stateURL(), &state) != nil {
 		return -1
 	}
 	return slices.IndexFunc(e.hosts, func(r *host) bool { return r.control.String() == state.Reader })
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -26,7 +26,8 @@
 	name string
 	path string
 	args []string
-	env  []string
+	// holds is a file that the process keeps open, or nil.
+	holds *os.File
 	// output collects stdout and stderr of all runs of the process.
 	output *os.File
 
@@ -47,12 +48,12 @@
 	unexpectedExits []string
 }
 
-func newProcess(name, output, path string, env []string, args ...string) (*process, error) {
+func newProcess(name, output, path string, holds *os.File, args ...string) (*process, error) {
 	f, err := os.Create(output)
 	if err != nil {
 		return nil, eris.Wrapf(err, "output file of %s can't be created", name)
 	}
-	return &process{name: name, path: path, args: args, env: env, output: f}, nil
+	return &process{name: name, path: path, args: args, holds: holds, output: f}, nil
 }
 
 // start starts the process, for the first time or after it has exited.
@@ -60,11 +61,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cmd := exec.Command(p.path, p.args...)
-	cmd.Env = append(os.Environ(), p.env...)
 	cmd.Stdout, cmd.Stderr = p.output, p.output
 	// A process group of its own: when the shell of a shared group ends, the kernel sends a hang-up to
 	// members that are paused at that moment.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	if p.holds != nil {
+		cmd.ExtraFiles = []*os.File{p.holds}
+	}
 	written, err := p.output.Seek(0, io.SeekEnd)
 	if err != nil {
 		return eris.Wrapf(err, "output of %s can't be read", p.name)
@@ -175,6 +178,16 @@
 	return fmt.Sprintf("%s, its output ends with %q", state, output[max(0, len(output)-outputEnd):])
 }
 
+// hasExited reports whether the current run is over.
+func (p *process) hasExited() bool {
+	select {
+	case <-p.exited():
+		return true
+	default:
+		return false
+	}
+}
+
 func (p *process) exited() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/soak/product.go
+++ b/internal/soak/product.go
@@ -66,6 +66,7 @@
 // platform, fabric, upstreams and callers are processes.
 type productEnv struct {
 	options        Options
+	network        *network
 	addrPrefix     string
 	record         *record
 	hosts          []*productHost
@@ -89,7 +90,7 @@
 	if o.Restores {
 		faults = addRestores(o.Seed, faults)
 	}
-	e := &productEnv{options: o, addrPrefix: n.prefix(), record: newRecord(), rate: initialRate}
+	e := &productEnv{options: o, network: n, addrPrefix: n.prefix(), record: newRecord(), rate: initialRate}
 	defer e.close()
 	if err := e.start(ctx, random); err != nil {
 		return nil, err
@@ -116,7 +117,7 @@
 // startStandin starts mimosa-standin with the subcommand name. Its output goes
 // to name.log.
 func (e *productEnv) startStandin(name string, args ...string) (*process, error) {
-	p, err := newProcess(name, e.path(name+".log"), e.program("mimosa-standin"), nil, append([]string{name}, args...)...)
+	p, err := newProcess(name, e.path(name+".log"), e.program("mimosa-standin"), e.network.held, append([]string{name}, args...)...)
 	if err != nil {
 		return nil, err
 	}
@@ -263,7 +264,7 @@
 	if err := os.WriteFile(e.path(name+".ini"), []byte(settings), 0o600); err != nil {
 		return eris.Wrap(err, "settings can't be written")
 	}
-	if h.process, err = newProcess(name, e.path(name+".log"), e.program("mimosad"), nil, e.path(name+".ini")); err != nil {
+	if h.process, err = newProcess(name, e.path(name+".log"), e.program("mimosad"), e.network.held, e.path(name+".ini")); err != nil {
 		return err
 	}
 	if err := e.listHost(h, "live"); err != nil {
