soak: evacuates zones, bounds flows to cold upstreams, and overloads services

Change: three kinds of fault on the platform path, from random numbers of their own. EVAC and FAILBACK are judged by all SYNs that upstreams received, copies included.

TestViolationsAreFound has a kept and a broken record for each check.

--- a/cmd/mimosa-soak/main.go
+++ b/cmd/mimosa-soak/main.go
@@ -21,18 +21,20 @@
 
 // arguments holds the parsed command line.
 type arguments struct {
-	Seed     uint64        `arg:"--seed" default:"1" help:"first seed"`
-	Seeds    uint64        `arg:"--seeds" default:"1" help:"number of seeds, one after the other"`
-	Length   time.Duration `arg:"--length" default:"60s" help:"length of a run"`
-	Hosts    int           `arg:"--hosts" default:"6" help:"number of host processes"`
-	Callers  int           `arg:"--callers" default:"24" help:"number of callers"`
-	Product  bool          `arg:"--product" help:"play the product's own path in place of the platform's"`
-	Restores bool          `arg:"--restores" default:"true" help:"restore the store from a copy now and then; false for the schedules of before that fault"`
-	Links    bool          `arg:"--link-faults" default:"true" help:"add faults of hosts that read the store for others, of other writers and of callers' links; false for the schedules of before"`
-	Silence  bool          `arg:"--silence-faults" default:"true" help:"add lossy links of many callers, and slow upstreams; false for the schedules of before"`
-	Examples string        `arg:"--examples" default:"examples" placeholder:"DIR" help:"directory of the example deployments"`
-	Programs string        `arg:"--programs" default:"bin" placeholder:"DIR" help:"directory of the programs"`
-	Keep     string        `arg:"--keep" placeholder:"DIR" help:"directory for the logs of runs; by default only those of failed ones are kept, in a temporary one"`
+	Seed        uint64        `arg:"--seed" default:"1" help:"first seed"`
+	Seeds       uint64        `arg:"--seeds" default:"1" help:"number of seeds, one after the other"`
+	Length      time.Duration `arg:"--length" default:"60s" help:"length of a run"`
+	Hosts       int           `arg:"--hosts" default:"6" help:"number of host processes"`
+	Callers     int           `arg:"--callers" default:"24" help:"number of callers"`
+	Product     bool          `arg:"--product" help:"play the product's own path in place of the platform's"`
+	Restores    bool          `arg:"--restores" default:"true" help:"restore the store from a copy now and then; false for the schedules of before that fault"`
+	Links       bool          `arg:"--link-faults" default:"true" help:"add faults of hosts that read the store for others, of other writers and of callers' links; false for the schedules of before"`
+	Silence     bool          `arg:"--silence-faults" default:"true" help:"add lossy links of many callers, and slow upstreams; false for the schedules of before"`
+	Evacuations bool          `arg:"--evacuations" default:"true" help:"evacuate zones and bound new flows to cold upstreams; false for the schedules of before"`
+	Overloads   bool          `arg:"--overloads" default:"true" help:"ask more of services than their slots can do while hosts are killed; false for the schedules of before"`
+	Examples    string        `arg:"--examples" default:"examples" placeholder:"DIR" help:"directory of the example deployments"`
+	Programs    string        `arg:"--programs" default:"bin" placeholder:"DIR" help:"directory of the programs"`
+	Keep        string        `arg:"--keep" placeholder:"DIR" help:"directory for the logs of runs; by default only those of failed ones are kept, in a temporary one"`
 }
 
 // Description returns the text at the head of the help.
@@ -90,7 +92,7 @@
 	}
 	defer faultLog.Close()
 	report, err := soak.Run(ctx, soak.Options{
-		Seed: seed, Length: a.Length, Hosts: a.Hosts, Callers: a.Callers, Product: a.Product, Restores: a.Restores, LinkFaults: a.Links, SilenceFaults: a.Silence, Programs: a.Programs, Examples: a.Examples, Dir: dir,
+		Seed: seed, Length: a.Length, Hosts: a.Hosts, Callers: a.Callers, Product: a.Product, Restores: a.Restores, LinkFaults: a.Links, SilenceFaults: a.Silence, Evacuations: a.Evacuations, Overloads: a.Overloads, Programs: a.Programs, Examples: a.Examples, Dir: dir,
 		Log: func(format string, args ...any) {
 			fmt.Fprintf(faultLog, time.Now().Format("15:04:05.000 ")+format+"\n", args...)
 		},
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -44,8 +44,10 @@
 	zones   []string
 	// applyWithin is the time within which hosts apply a configuration.
 	applyWithin time.Duration
-	programs    string
-	logDir      string
+	// paced bounds evacuations and new flows to cold upstreams in the settings.
+	paced    bool
+	programs string
+	logDir   string
 }
 
 // newHost writes the settings of host n and opens its link to the store. The
@@ -64,6 +66,9 @@
 		Name: h.name, Zone: h.zone, Zones: d.zones, Data: h.data, Ready: h.ready, Control: h.control,
 		Contacts: contacts, Store: h.store.addr(), StopTimeout: stopTimeout, ApplyTimeout: d.applyWithin,
 	}
+	if d.paced {
+		settings.EvacuateTimeout, settings.ColdOver, settings.ColdSlack = evacuateWithin, coldOver, coldSlack
+	}
 	h.validSettings, err = settings.Encode()
 	if err != nil {
 		return nil, eris.Wrapf(err, "settings of %s can't be encoded", h.name)
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -86,6 +86,15 @@
 	quietHeartbeats bool
 	// lastConfiguration is the newest configuration as written.
 	lastConfiguration map[string]any
+	// paced declares the bound on new flows to cold upstreams, with the rate coldPerS, and makes
+	// registrations say for how long upstreams stay cold.
+	paced    bool
+	coldPerS float64
+	// evacuating is held during an evacuation. evacuated is its zone, also for as long as the zone's
+	// upstreams are cold after it; inForce is the evacuation that the operator wrote last and has not removed.
+	evacuating sync.Mutex
+	evacuated  string
+	inForce    *evacuation
 	// ordersMoved is set while the orders are routed to movedOrdersService.
 	ordersMoved bool
 }
@@ -132,7 +141,10 @@
 		return err
 	}
 	u.Registration.Addr, u.Registration.Born = s.link.addr(), born.UnixMilli()
-	s.instance = &upstreamInstance{Upstream: u, slot: s.name, service: service}
+	s.instance = &upstreamInstance{Upstream: u, slot: s.name, service: service, started: time.Now()}
+	if o.paced {
+		u.Registration.ColdLeftMs = s.instance.coldLeft(s.instance.started)
+	}
 	o.record.mu.Lock()
 	o.record.upstreams = append(o.record.upstreams, s.instance)
 	o.record.mu.Unlock()
@@ -171,7 +183,11 @@
 	o.record.mu.Lock()
 	o.record.configurations = append(o.record.configurations, c)
 	o.record.mu.Unlock()
-	o.lastConfiguration = dsrworld.Configuration(c.version, routes)
+	var declared []any
+	if o.paced {
+		declared = declaredServices(o.coldPerS)
+	}
+	o.lastConfiguration = dsrworld.Configuration(c.version, routes, declared...)
 	o.store.Put(dsrworld.ConfigurationKey, o.lastConfiguration)
 	o.record.mu.Lock()
 	o.record.configurations[n].acknowledged = time.Now()
@@ -192,6 +208,9 @@
 		for _, s := range o.slots {
 			if s.instance != nil && !o.storeUnavailable {
 				s.instance.Registration.Seq++
+				if o.paced {
+					s.instance.Registration.ColdLeftMs = s.instance.coldLeft(time.Now())
+				}
 				if !o.quietHeartbeats || !o.store.Holds(s.instance.Key(), s.instance.Registration) {
 					o.store.Put(s.instance.Key(), s.instance.Registration)
 				}
@@ -219,7 +238,7 @@
 	}
 	var candidates []*slot
 	for _, s := range o.slots {
-		if s.instance != nil && !s.reserved && unreserved[s.instance.service] > minRunning && s.instance.service != unrouted {
+		if s.instance != nil && !s.reserved && unreserved[s.instance.service] > minRunning && s.instance.service != unrouted && o.sparedByEvacuation(s) {
 			candidates = append(candidates, s)
 		}
 	}
@@ -231,7 +250,18 @@
 	return s
 }
 
+// sparedByEvacuation reports whether the service of an upstream has another one outside the evacuated zone.
+// The caller holds o.mu.
+func (o *operator) sparedByEvacuation(s *slot) bool {
+	return o.evacuated == "" || s.zone == o.evacuated || o.unreserved(s.instance.service, o.evacuated) > 1
+}
+
+// release ends the reservation of a slot, for which faults may choose it again, once its upstream is warm
+// if new flows to cold ones are bounded.
 func (o *operator) release(s *slot) {
+	if o.paced {
+		time.Sleep(coldStart)
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s.reserved = false
@@ -314,7 +344,11 @@
 	if clockBack {
 		born = time.UnixMilli(old.Registration.Born).Add(-clockSetback)
 	}
-	return o.startUpstream(s, old.service, old.ID, born)
+	err := o.startUpstream(s, old.service, old.ID, born)
+	if err == nil {
+		s.instance.again = true
+	}
+	return err
 }
 
 // failStore makes the store unavailable for the duration by setDown. If lapse is set, all
@@ -374,6 +408,9 @@
 	o.mu.Lock()
 	o.storeUnavailable = false
 	o.store.Put(dsrworld.ConfigurationKey, o.lastConfiguration)
+	if o.paced {
+		o.rewriteEvacuations()
+	}
 	o.mu.Unlock()
 	sleep(ctx, duration/4)
 	o.removeEnded()
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -60,6 +60,7 @@
 	rotation      *rotation
 	deploy        deployment
 	faultsStarted time.Time
+	overload      overload
 	background    sync.WaitGroup
 }
 
@@ -75,6 +76,12 @@
 	if o.SilenceFaults {
 		faults = addSilenceFaults(o.Seed, faults)
 	}
+	if o.Evacuations {
+		faults = addEvacuations(o.Seed, faults)
+	}
+	if o.Overloads {
+		faults = addOverloads(o.Seed, faults)
+	}
 	e := &platformEnv{options: o, network: n, record: newRecord(), store: dsrworld.NewStore(), faultsStarted: time.Now()}
 	defer e.store.Close()
 	if err := e.build(random); err != nil {
@@ -83,6 +90,7 @@
 	defer e.close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	started := time.Now()
 	if err := e.startHosts(ctx); err != nil {
 		return nil, err
 	}
@@ -91,6 +99,9 @@
 	if err := e.awaitRotation(ctx); err != nil {
 		return nil, err
 	}
+	if o.Evacuations {
+		sleep(ctx, time.Until(started.Add(warmWait)))
+	}
 	if err := e.startCallers(ctx); err != nil {
 		return nil, err
 	}
@@ -112,6 +123,11 @@
 	}
 	e.operator = newOperator(e.network, e.store, e.record, e.deploy.zones)
 	e.operator.quietHeartbeats = e.options.Restores
+	if e.options.Evacuations {
+		e.deploy.paced, e.operator.paced = true, true
+		e.operator.coldPerS = coldRates[e.options.Seed%uint64(len(coldRates))]
+		e.record.coldPerS = e.operator.coldPerS
+	}
 	e.operator.configure(false)
 	for _, s := range services {
 		for range slotsPerService {
@@ -207,12 +223,20 @@
 	if e.options.LinkFaults {
 		kinds = append(kinds, client{added: true, idempotent: true, long: true})
 	}
-	for n := range e.options.Callers + proberCount {
+	extra := 0
+	if e.options.Overloads {
+		extra = overloadCallers
+	}
+	for n := range e.options.Callers + proberCount + extra {
 		caller, err := dsrworld.NewCaller(e.network.addr(callersOctet+byte(n/250), byte(n%250+1), 0).Addr(), hostDataPort)
 		if err != nil {
 			return err
 		}
 		e.callers = append(e.callers, caller)
+		if n >= e.options.Callers+proberCount {
+			e.overload.clients = append(e.overload.clients, &client{index: n, zone: e.deploy.zones[n%len(e.deploy.zones)], caller: caller, rotation: e.rotation, record: e.record, eager: true})
+			continue
+		}
 		if n >= e.options.Callers {
 			e.background.Go(func() { probe(ctx, caller, e.rotation, e.record) })
 			continue
--- a/internal/soak/platformfaults.go
+++ b/internal/soak/platformfaults.go
@@ -100,6 +100,10 @@
 		e.loseDatagrams(ctx, f)
 	case upstreamSlow:
 		e.operator.slowDown(ctx, f)
+	case zoneEvacuation:
+		e.operator.evacuate(ctx, f)
+	case upstreamOverload:
+		return e.overloadService(ctx, f)
 	default:
 		return e.injectUpstreamFault(ctx, f)
 	}
@@ -308,6 +312,7 @@
 			return e.operator.restart(ctx, s, lateRestartTime, false)
 		})
 	case upstreamLink:
+		defer e.record.beginDisruption("link of "+s.name, false)()
 		err := s.link.setMode(f.mode)
 		sleep(ctx, f.duration)
 		return errors.Join(err, s.link.setMode(linkOpen))
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -22,6 +22,11 @@
 	configurations []configuration
 	upstreams      []*upstreamInstance
 	hostRuns       []hostRun
+	evacuations    []*evacuation
+	// coldPerS is the declared rate of new flows to a cold upstream; negative if it is not bounded.
+	coldPerS float64
+	// shortages are the intervals in which requests may fail for lack of capacity.
+	shortages []*shortage
 	// refusals holds the flows that hosts refused because of load, by caller.
 	refusals map[netip.AddrPort][]refusal
 	// silenceResets holds the times at which hosts reset flows because they took the upstream for
@@ -82,6 +87,9 @@
 	// slot is the key of its slot in the disruptions.
 	slot    string
 	service string
+	// started is its start; again is set if it has the identity of an earlier one.
+	started time.Time
+	again   bool
 	// withdrawn is the time at which the store acknowledged that the upstream drains
 	// or is gone, ended the time at which it stopped. Zero means not yet.
 	withdrawn, ended time.Time
@@ -93,6 +101,9 @@
 	id   uint64
 	// addr is the address from which the upstream answers.
 	addr netip.AddrPort
+	zone string
+	// opening are all SYNs that arrived, copies included.
+	opening []dsrworld.SYNArrival
 	// openings are the SYNs that opened flows, strays the packets of flows that are not open
 	// at the upstream, and arrivals the times of the packets of open flows.
 	openings []dsrworld.Opening
@@ -110,7 +121,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, u := range r.upstreams {
-		u.observed = upstreamObservations{u.Name, u.ID, u.LocalAddr(), u.Openings(), u.Strays(), u.Arrivals(), u.RunCounts(), u.Corrupted()}
+		u.observed = upstreamObservations{u.Name, u.ID, u.LocalAddr(), u.Registration.Zone, u.SYNArrivals(), u.Openings(), u.Strays(), u.Arrivals(), u.RunCounts(), u.Corrupted()}
 	}
 }
 
@@ -122,7 +133,7 @@
 
 func newRecord() *record {
 	return &record{
-		disruptions: make(map[string][]*disruption), refusals: make(map[netip.AddrPort][]refusal), silenceResets: make(map[netip.AddrPort][]time.Time),
+		coldPerS: -1, disruptions: make(map[string][]*disruption), refusals: make(map[netip.AddrPort][]refusal), silenceResets: make(map[netip.AddrPort][]time.Time),
 	}
 }
 
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -72,6 +72,10 @@
 	callersLossy faultKind = "callers-lossy"
 	// upstreamSlow makes upstreams work longer on each request, so that requests queue.
 	upstreamSlow faultKind = "upstream-slow"
+	// zoneEvacuation evacuates a zone.
+	zoneEvacuation faultKind = "evacuation"
+	// upstreamOverload asks more of a service than its slots can do, and kills a host meanwhile.
+	upstreamOverload faultKind = "overload"
 )
 
 // weightedKind is a kind with its relative frequency in a schedule.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -18,6 +18,8 @@
 //	ROUTE    flows and requests reach only services that their route has named
 //	CONFIG   hosts apply a configuration in time and never revert to an older one
 //	DRAIN    a withdrawn upstream receives no new flows after a bound
+//	EVAC     an evacuated zone receives no opening packets after a bound
+//	FAILBACK cold upstreams receive few opening packets
 //	FLOW     an open flow stays on its upstream
 //	REFUSED  flows are refused because of load only if more is asked than upstreams can do
 //	SERVED   without unplanned disruptions, all requests are served
@@ -61,6 +63,12 @@
 	// SilenceFaults adds, on the platform path, faults that make live upstreams look silent: lossy
 	// links of many callers, and slow upstreams.
 	SilenceFaults bool
+	// Evacuations adds, on the platform path, evacuations of zones, and bounds the new flows to cold
+	// upstreams.
+	Evacuations bool
+	// Overloads adds, on the platform path, traffic above what the slots of a service can do while a
+	// host is killed.
+	Overloads bool
 	// Programs is the directory of the executables, Examples that of the example
 	// deployments, and Dir that of the settings and logs of the run.
 	Programs, Examples, Dir string
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -43,6 +43,7 @@
 		"restored store":                {Seed: 501, Length: 18 * time.Second, Restores: true},
 		"followers, writers and links":  {Seed: 9716, Length: 18 * time.Second, Restores: true, LinkFaults: true, Hosts: 6},
 		"lossy callers, slow upstreams": {Seed: 36001, Length: 18 * time.Second, Restores: true, LinkFaults: true, SilenceFaults: true, Callers: 48},
+		"evacuations, overloads":       {Seed: 39001, Length: 18 * time.Second, Restores: true, LinkFaults: true, Evacuations: true, Overloads: true},
 		"restored store, product":       {Seed: 501, Length: 18 * time.Second, Restores: true, Product: true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -102,6 +103,8 @@
 		"restores":    {addRestores, []weightedKind{{kind: storeRestore}}},
 		"link faults": {addLinkFaults, linkFaults},
 		"silence":     {addSilenceFaults, silenceFaults},
+		"evacuations": {addEvacuations, []weightedKind{{kind: zoneEvacuation}}},
+		"overloads":   {addOverloads, []weightedKind{{kind: upstreamOverload}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			all := c.add(3, slices.Clone(faults))
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -32,7 +32,9 @@
 	// has its own flow.
 	long bool
 	// added makes each flow use the route that was added last.
-	added    bool
+	added bool
+	// eager leaves out the pauses between requests.
+	eager    bool
 	caller   *dsrworld.Caller
 	rotation *rotation
 	record   *record
@@ -46,7 +48,9 @@
 func (c *client) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		c.sendRequest()
-		sleep(ctx, rand.N(maxRequestPause))
+		if !c.eager {
+			sleep(ctx, rand.N(maxRequestPause))
+		}
 	}
 	if c.flow != nil {
 		c.endFlow(false)
--- a/internal/soak/verify_test.go
+++ b/internal/soak/verify_test.go
@@ -66,10 +66,31 @@
 	s.flows = append(s.flows, flow{service: service, probe: probe, ended: second(at + 1), trace: dsrworld.Trace{
 		Local: self, SYNs: []dsrworld.SYN{{At: second(at), Host: host}}, Sent: []dsrworld.SYN{{At: second(at), Host: host}}, Opened: true, Upstream: uint32(to.observed.id),
 	}})
+	to.observed.opening = append(to.observed.opening, dsrworld.SYNArrival{At: second(at + 0.01), Caller: self})
 	to.observed.openings = append(to.observed.openings, dsrworld.Opening{At: second(at + 0.01), Caller: self, Service: service, Acknowledged: second(at + 0.02)})
 	return &s.flows[len(s.flows)-1]
 }
 
+// openFlows adds flows of the orders, a gap apart.
+func (s *scenario) openFlows(n int, at, gap float64, host netip.AddrPort, to *upstreamInstance) {
+	for i := range n {
+		s.openFlow(at+float64(i)*gap, host, ordersRoute, to, 0)
+	}
+}
+
+// start sets the start of an upstream, and that no flows but the slack may be opened to it while it is cold.
+func (s *scenario) start(u *upstreamInstance, at float64) { u.started, s.coldPerS = second(at), 0 }
+
+// evacuate evacuates the zone of the orders; the second time is that of the removal, zero for never.
+func (s *scenario) evacuate(at, removing float64) {
+	s.orders.observed.zone, s.feed.observed.zone = "zone-a", "zone-b"
+	e := &evacuation{zone: "zone-a", acknowledged: second(at)}
+	if removing > 0 {
+		e.removing = second(removing)
+	}
+	s.evacuations = append(s.evacuations, e)
+}
+
 // refuseFlow adds a flow that a host reset before it was open.
 func (s *scenario) refuseFlow(at float64, host netip.AddrPort, service netip.AddrPort, probe int) {
 	s.port++
@@ -270,6 +291,79 @@
 			s.addDisruption("host "+hostA.String(), 5, 7, false)
 			s.makeRequest("r-1", 10, false, false)
 		}, ""},
+		"an opening packet in an evacuated zone": {func(s *scenario) {
+			s.evacuate(10, 0)
+			s.openFlow(15.1, hostA, ordersRoute, s.orders, 0)
+		}, "EVAC"},
+		"a copy of an opening packet in an evacuated zone": {func(s *scenario) {
+			s.evacuate(10, 20)
+			f := s.openFlow(14.8, hostA, ordersRoute, s.feed, 0)
+			f.trace.SYNs = append(f.trace.SYNs, dsrworld.SYN{At: second(15), Host: hostB})
+			s.orders.observed.opening = append(s.orders.observed.opening, dsrworld.SYNArrival{At: second(15.1), Caller: f.trace.Local, Retransmits: 1})
+		}, "EVAC"},
+		"an opening packet within the bound of an evacuation, and after its end": {func(s *scenario) {
+			s.evacuate(10, 17)
+			s.openFlow(14.9, hostA, ordersRoute, s.orders, 0)
+			s.openFlow(17.1, hostA, ordersRoute, s.orders, 0)
+		}, ""},
+		"an opening packet in another zone": {func(s *scenario) {
+			s.evacuate(10, 0)
+			s.openFlow(16, hostA, feedRoute, s.feed, 0)
+		}, ""},
+		"an opening packet in an evacuated zone through a host that was cut off 4.5 s before": {func(s *scenario) {
+			s.evacuate(10, 0)
+			s.addDisruption("host "+hostA.String(), 9, 15.5, false)
+			s.openFlow(20, hostA, ordersRoute, s.orders, 0)
+		}, ""},
+		"an opening packet in an evacuated zone through a host that was cut off 5.5 s before": {func(s *scenario) {
+			s.evacuate(10, 0)
+			s.addDisruption("host "+hostA.String(), 9, 14.5, false)
+			s.openFlow(20, hostA, ordersRoute, s.orders, 0)
+		}, "EVAC"},
+		"an opening packet in an evacuated zone that was held back": {func(s *scenario) {
+			s.evacuate(10, 0)
+			s.addDisruption("link of "+s.orders.slot, 14, 16, false)
+			s.openFlow(16, hostA, ordersRoute, s.orders, 0)
+		}, ""},
+		"as many opening packets to a cold upstream as are allowed": {func(s *scenario) {
+			s.start(s.orders, 10)
+			s.openFlows(5, 10.1, 0.01, hostA, s.orders)
+			s.openFlows(5, 11.2, 0.01, hostB, s.orders)
+		}, ""},
+		"more opening packets of all hosts to a cold upstream": {func(s *scenario) {
+			s.start(s.orders, 10)
+			s.addDisruption("host "+hostB.String(), 9, 12, false)
+			s.openFlows(3, 11.5, 0.01, hostA, s.orders)
+			s.openFlows(3, 11.8, 0.01, hostB, s.orders)
+		}, "FAILBACK"},
+		"more opening packets to an upstream that is warm": {func(s *scenario) {
+			s.start(s.orders, 10)
+			s.openFlows(9, 12.1, 0.01, hostA, s.orders)
+		}, ""},
+		"more opening packets after the return of a zone": {func(s *scenario) {
+			s.coldPerS = 0
+			s.evacuate(5, 20)
+			s.openFlows(6, 20.5, 0.1, hostA, s.orders)
+		}, "FAILBACK"},
+		"more opening packets after the return of a zone through a host that missed the evacuation": {func(s *scenario) {
+			s.coldPerS = 0
+			s.evacuate(5, 20)
+			s.addDisruption("host "+hostA.String(), 4, 19, false)
+			s.openFlows(6, 20.5, 0.1, hostA, s.orders)
+		}, ""},
+		"more opening packets at once, of which the service declares a rate": {func(s *scenario) {
+			s.start(s.orders, 10)
+			s.coldPerS = 10
+			s.openFlows(20, 10.1, 0.01, hostA, s.orders)
+		}, ""},
+		"not served while capacity is short": {func(s *scenario) {
+			s.shortages = append(s.shortages, &shortage{from: second(5), to: second(7)})
+			s.makeRequest("r-1", 10, false, false)
+		}, ""},
+		"not served after a shortage": {func(s *scenario) {
+			s.shortages = append(s.shortages, &shortage{from: second(3), to: second(5)})
+			s.makeRequest("r-1", 10, false, false)
+		}, "SERVED"},
 		"data of another request": {func(s *scenario) { s.openFlow(10, hostA, ordersRoute, s.orders, 0).mixed = true }, "MIXED"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/standin/dsrworld/upstream.go
+++ b/internal/standin/dsrworld/upstream.go
@@ -75,7 +75,9 @@
 	running  int
 	waiting  []func()
 	openings []Opening
-	strays   []Stray
+	// synArrivals holds all SYNs, copies included.
+	synArrivals []SYNArrival
+	strays      []Stray
 	// arrivals holds the times of the packets of open flows, by caller.
 	arrivals map[netip.AddrPort][]time.Time
 }
@@ -106,6 +108,13 @@
 	Acknowledged time.Time
 }
 
+// SYNArrival is a SYN that arrived at an upstream. Retransmits is as in Opening.
+type SYNArrival struct {
+	At          time.Time
+	Caller      netip.AddrPort
+	Retransmits int
+}
+
 // Stray is a packet of a flow that is unknown to the upstream, or that its caller opened at
 // another one.
 type Stray struct {
@@ -180,6 +189,13 @@
 	return slices.Clone(u.openings)
 }
 
+// SYNArrivals returns the SYNs that arrived, in order.
+func (u *Upstream) SYNArrivals() []SYNArrival {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Clone(u.synArrivals)
+}
+
 // Strays returns the received packets of unknown flows.
 func (u *Upstream) Strays() []Stray {
 	u.mu.Lock()
@@ -329,6 +345,7 @@
 	}
 	switch {
 	case p.flags&syn != 0:
+		u.synArrivals = append(u.synArrivals, SYNArrival{time.Now(), p.src, int(p.ack)})
 		if f == nil {
 			f = &upstreamFlow{next: p.seq + 1, opening: len(u.openings)}
 			u.flows[p.src] = f
