soak: the last evacuation of a run lasts into its calm

Change: the last evacuation of a run lasts into the calm, which is longer for it, and an evacuation that would leave a service without an upstream is tried again.

--- a/internal/soak/evacuation.go
+++ b/internal/soak/evacuation.go
@@ -33,8 +33,11 @@
 	// evacuationLead is the longest time from an evacuation that lasts into a calm phase to the start
 	// of that phase, evacuationTail the time from there to its end. Hosts that faults had hit are judged
 	// again evacuateStable after them.
-	evacuationLead = 3 * time.Second
+	evacuationLead = 5 * time.Second
 	evacuationTail = evacuateStable + time.Second
+	// evacuationRetry is the time after which an evacuation that would leave a service without an
+	// upstream is tried again.
+	evacuationRetry = 200 * time.Millisecond
 )
 
 // coldRates are the values of coldPerS, of which the seed chooses one; deployments have the first.
@@ -52,7 +55,8 @@
 type shortage struct{ from, to time.Time }
 
 // addEvacuations adds an evacuation to each phase, from random numbers of their own as addRestores does. With
-// one chance in two it lasts into the calm after the phase, except the last one.
+// one chance in two it lasts into the calm after the phase, and always in the last one, since undisrupted
+// hosts are needed to judge it; the run is longer then (lengthWithEvacuations).
 func addEvacuations(seed uint64, faults []fault) []fault {
 	random := rand.New(rand.NewPCG(seed, evacuationStream))
 	begin := initialCalm
@@ -64,7 +68,7 @@
 		end := f.at - calmChangeDelay
 		e := fault{kind: zoneEvacuation, pick: random.IntN(1 << 16), at: begin + time.Duration(random.Int64N(int64(maxEvacuationDelay)))}
 		lead := time.Duration(random.Int64N(int64(evacuationLead)))
-		if random.IntN(2) == 0 && f.at != faults[len(faults)-1].at {
+		if random.IntN(2) == 0 || f.at == faults[len(faults)-1].at {
 			e.at = end - lead
 			end += evacuationTail
 		}
@@ -77,14 +81,28 @@
 	return faults
 }
 
+// lengthWithEvacuations returns the length of a run whose last calm follows the last evacuation.
+func lengthWithEvacuations(length time.Duration, faults []fault) time.Duration {
+	for _, f := range faults {
+		if f.kind == zoneEvacuation {
+			length = max(length, f.at+f.duration+coldStart+calmPhase)
+		}
+	}
+	return length
+}
+
 // evacuate writes the evacuation of a zone, removes it at the end of the fault, and waits until the zone's
-// upstreams are warm. One zone is evacuated at a time; both, if one of them alone would leave a service
-// without an upstream, are left out.
+// upstreams are warm. One zone is evacuated at a time; while that of either zone would leave a service
+// without an upstream, it waits.
 func (o *operator) evacuate(ctx context.Context, f fault) {
 	end := time.Now().Add(f.duration)
 	o.evacuating.Lock()
 	defer o.evacuating.Unlock()
 	e := o.beginEvacuation(f.pick)
+	for e == nil && time.Until(end) > evacuateWithin && ctx.Err() == nil {
+		sleep(ctx, evacuationRetry)
+		e = o.beginEvacuation(f.pick)
+	}
 	if e == nil {
 		return
 	}
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -78,6 +78,7 @@
 	}
 	if o.Evacuations {
 		faults = addEvacuations(o.Seed, faults)
+		length = lengthWithEvacuations(length, faults)
 	}
 	if o.Overloads {
 		faults = addOverloads(o.Seed, faults)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -113,7 +113,7 @@
 			for _, f := range all {
 				if slices.ContainsFunc(c.kinds, func(k weightedKind) bool { return k.kind == f.kind }) {
 					seen[f.kind] = true
-					require.LessOrEqual(t, f.at+f.duration, length-calmPhase)
+					require.LessOrEqual(t, f.at+f.duration, lengthWithEvacuations(length, all)-calmPhase)
 				} else {
 					others = append(others, f)
 				}
