soak: upstreams register four slots; runs with evacuations and overloads

Change: upstreams register four slots; slow and overloaded ones work on two requests at once as before.

--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -54,6 +54,12 @@
 	drainMargin = 3 * time.Second
 	// requestTime is the processing time of a request, as in the users' feeds.
 	requestTime = 30 * time.Millisecond
+	// registeredSlots is the number of requests that upstreams take at once by their registration. Two
+	// upstreams then do what the twelve callers of a service ask for, also if a request takes 113 ms as on a
+	// busy machine: with two slots, planned work that left two upstreams led to refusals.
+	registeredSlots = 4
+	// limitedSlots is the number of requests that slow and overloaded upstreams work on at once.
+	limitedSlots = 2
 	// clockSetback is the amount by which the clock of an upstream is set back.
 	clockSetback = time.Hour
 	// minRunning is the number of upstreams of a service that faults leave running.
@@ -136,6 +142,7 @@
 		return err
 	}
 	u.SetServiceTime(requestTime)
+	u.Registration.Slots = registeredSlots
 	if err := s.link.setTarget(netip.MustParseAddrPort(u.Registration.Addr)); err != nil {
 		u.Close()
 		return err
@@ -524,7 +531,7 @@
 	for _, u := range slow {
 		defer o.record.beginDisruption("work of "+u.slot, false)()
 		u.SetServiceTime(time.Duration(factor) * requestTime)
-		u.SetSlots(u.Registration.Slots)
+		u.SetSlots(limitedSlots)
 		defer func() {
 			u.SetServiceTime(requestTime)
 			u.SetSlots(0)
--- a/internal/soak/overload.go
+++ b/internal/soak/overload.go
@@ -78,7 +78,7 @@
 	}
 	for _, u := range limited {
 		u.SetServiceTime(time.Duration(factor) * requestTime)
-		u.SetSlots(u.Registration.Slots)
+		u.SetSlots(limitedSlots)
 	}
 	return func() {
 		for _, u := range limited {
