--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -54,9 +54,9 @@
 	drainMargin = 3 * time.Second
 	// requestTime is the processing time of a request, as in the users' feeds.
 	requestTime = 30 * time.Millisecond
-	// registeredSlots is the number of requests that upstreams take at once by their registration. Two
-	// upstreams then do what the twelve callers of a service ask for, also if a request takes 113 ms as on a
-	// busy machine: with two slots, planned work that left two upstreams led to refusals.
+	// registeredSlots is the number of requests that upstreams take at once by their registration. Faults
+	// may leave two upstreams to the twelve callers of a service; with two slots each, hosts refused flows
+	// when requests took longer on a busy machine.
 	registeredSlots = 4
 	// limitedSlots is the number of requests that slow and overloaded upstreams work on at once.
 	limitedSlots = 2
