--- a/internal/dsrhost/stats.go
+++ b/internal/dsrhost/stats.go
@@ -97,8 +97,8 @@
 	} {
 		s.set.NewGauge(fmt.Sprintf("mimosashore_dsr_peer_messages{kind=%q}", kind), func() float64 { return float64(count.Load()) })
 	}
-	s.set.NewGauge(`mimosashore_dsr_peer_bytes{direction="received"}`, func() float64 { return float64(p.Stats.Received.Load()) })
-	s.set.NewGauge(`mimosashore_dsr_peer_bytes{direction="sent"}`, func() float64 { return float64(p.Stats.Sent.Load()) })
+	s.set.NewGauge("mimosashore_dsr_peer_bytes{direction=\"received\"}", func() float64 { return float64(p.Stats.Received.Load()) })
+	s.set.NewGauge("mimosashore_dsr_peer_bytes{direction=\"sent\"}", func() float64 { return float64(p.Stats.Sent.Load()) })
 }
 
 // registerCredits registers the gauges of the exchange of free slots.
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -39,8 +39,9 @@
 	// silentWatchTime is the time that watches receive no events before the
 	// store discards its history.
 	silentWatchTime = time.Second
-	// signalDelay is the time from the start of a process to its first signal.
-	// Until the Go runtime has installed its handlers, any signal ends the process.
+	// signalDelay is the shortest time from the start of a process to its first signal. Until the
+	// program has installed its handlers, any signal ends the process; that took 20 ms on a busy
+	// machine, and more than signalDelay in one run, so the first output is awaited too.
 	signalDelay = 100 * time.Millisecond
 	// readyTimeout limits the wait for a process to become ready.
 	readyTimeout = 20 * time.Second
@@ -59,6 +60,7 @@
 	rotation      *rotation
 	deploy        deployment
 	faultsStarted time.Time
+	overload      overload
 	background    sync.WaitGroup
 }
 
@@ -74,6 +76,13 @@
 	if o.SilenceFaults {
 		faults = addSilenceFaults(o.Seed, faults)
 	}
+	if o.Evacuations {
+		faults = addEvacuations(o.Seed, faults)
+		length = lengthWithEvacuations(length, faults)
+	}
+	if o.Overloads {
+		faults = addOverloads(o.Seed, faults)
+	}
 	e := &platformEnv{options: o, network: n, record: newRecord(), store: dsrworld.NewStore(), faultsStarted: time.Now()}
 	defer e.store.Close()
 	if err := e.build(random); err != nil {
@@ -82,6 +91,7 @@
 	defer e.close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	started := time.Now()
 	if err := e.startHosts(ctx); err != nil {
 		return nil, err
 	}
@@ -90,6 +100,9 @@
 	if err := e.awaitRotation(ctx); err != nil {
 		return nil, err
 	}
+	if o.Evacuations {
+		sleep(ctx, time.Until(started.Add(warmWait)))
+	}
 	if err := e.startCallers(ctx); err != nil {
 		return nil, err
 	}
@@ -111,6 +124,11 @@
 	}
 	e.operator = newOperator(e.network, e.store, e.record, e.deploy.zones)
 	e.operator.quietHeartbeats = e.options.Restores
+	if e.options.Evacuations {
+		e.deploy.paced, e.operator.paced = true, true
+		e.operator.coldPerS = coldRates[e.options.Seed%uint64(len(coldRates))]
+		e.record.coldPerS = e.operator.coldPerS
+	}
 	e.operator.configure(false)
 	for _, s := range services {
 		for range slotsPerService {
@@ -154,14 +172,17 @@
 	return nil
 }
 
-// startHost starts the process of a host, records the start, and waits for
-// signalDelay.
+// startHost starts the process of a host, records the start, and waits until it takes signals.
 func (e *platformEnv) startHost(h *host) error {
-	defer time.Sleep(signalDelay)
 	e.record.mu.Lock()
 	e.record.hostRuns = append(e.record.hostRuns, hostRun{host: h.data, from: time.Now()})
 	e.record.mu.Unlock()
-	return h.start()
+	if err := h.start(); err != nil {
+		return err
+	}
+	time.Sleep(signalDelay)
+	h.awaitOutput(readyTimeout)
+	return nil
 }
 
 // recordEnd records the end of the latest run of a host.
@@ -183,8 +204,8 @@
 		switch {
 		case e.rotation.includes(i):
 			i++
-		case time.Now().After(deadline):
-			return eris.Errorf("%s was not ready within %s: %s; readiness check: %s", e.hosts[i].name, readyTimeout, e.hosts[i].describe(), e.rotation.lastPoll(i))
+		case time.Now().After(deadline) || e.hosts[i].hasExited():
+			return eris.Errorf("%s was not ready within %s: %s; %s; readiness check: %s", e.hosts[i].name, readyTimeout, e.hosts[i].lacks(ctx), e.hosts[i].describe(), e.rotation.lastPoll(i))
 		default:
 			sleep(ctx, readyPollInterval/10)
 		}
@@ -203,12 +224,20 @@
 	if e.options.LinkFaults {
 		kinds = append(kinds, client{added: true, idempotent: true, long: true})
 	}
-	for n := range e.options.Callers + proberCount {
+	extra := 0
+	if e.options.Overloads {
+		extra = overloadCallers
+	}
+	for n := range e.options.Callers + proberCount + extra {
 		caller, err := dsrworld.NewCaller(e.network.addr(callersOctet+byte(n/250), byte(n%250+1), 0).Addr(), hostDataPort)
 		if err != nil {
 			return err
 		}
 		e.callers = append(e.callers, caller)
+		if n >= e.options.Callers+proberCount {
+			e.overload.clients = append(e.overload.clients, &client{index: n, zone: e.deploy.zones[n%len(e.deploy.zones)], caller: caller, rotation: e.rotation, record: e.record, eager: true})
+			continue
+		}
 		if n >= e.options.Callers {
 			e.background.Go(func() { probe(ctx, caller, e.rotation, e.record) })
 			continue
