--- a/internal/dsr/cold.go
+++ b/internal/dsr/cold.go
@@ -7,8 +7,7 @@
 	"mimosashore.example/mimosashore/internal/loadcontrol"
 )
 
-// maxClockSkew bounds the difference between the clocks of this host and of an upstream. A start that lies
-// further in the future says nothing.
+// maxClockSkew bounds the difference between the clocks of this host and of an upstream.
 const maxClockSkew = 500 * time.Millisecond
 
 // coldNoteInterval is the minimum time between two records that a cold upstream of this host is at its
@@ -69,7 +68,8 @@
 		u.cold = before.cold
 	} else if !c.cold.full {
 		c.coldSince(now, u)
-	} else if age := time.Duration(c.cold.clock-u.Incarnation) * time.Millisecond; c.cold.clock != 0 && age >= -maxClockSkew {
+	} else if age := time.Duration(c.cold.clock-u.Incarnation) * time.Millisecond; c.cold.clock != 0 {
+		// A start in the future is that of an upstream whose clock is ahead, which may just have started.
 		c.coldSince(now-max(age-maxClockSkew, 0), u)
 	}
 	c.extendCold(now, u, u.SlowStart)
@@ -125,6 +125,9 @@
 func (c *Core) admitsCold(now time.Duration, u *upstream) bool {
 	left := c.coldLeft(now, u)
 	if left == 0 {
+		if u.cold != nil {
+			u.cold.owned = false
+		}
 		u.dropWarm()
 		return true
 	}
--- a/internal/dsr/servewaiting.go
+++ b/internal/dsr/servewaiting.go
@@ -42,6 +42,13 @@
 	c.recycle(w)
 }
 
+// serveAt releases a request that takes a slot of the given upstream.
+func (c *Core) serveAt(now time.Duration, w *waitingRequest, u *upstream) {
+	c.waiting.target = u
+	c.serve(now, w)
+	c.waiting.target = nil
+}
+
 // serveWaiting gives free slots to waiting requests, and ends the wait of those that will not be served.
 func (c *Core) serveWaiting(now time.Duration) {
 	if len(c.waiting.byKey) == 0 {
@@ -55,6 +62,11 @@
 
 func (c *Core) serveService(now time.Duration, s *service) {
 	for e := s.queue.Expired(now); e != nil; e = s.queue.Expired(now) {
+		if w := e.Value; w.upstream != nil && w.copyAt != 0 && now-w.copyAt <= copyIsRecent {
+			// The caller waits for longer than its route declares.
+			c.serve(now, w)
+			continue
+		}
 		// The caller ends its attempt by itself, unless the service is overloaded and it can be told so.
 		c.endWait(now, e.Value, e.Rejectable && c.overloaded(now, s, loadcontrol.Class{}), "the caller gives up")
 	}
@@ -79,12 +91,13 @@
 				e = s.queue.NextInLine(now, &u.line)
 			}
 			if e != nil {
-				c.serve(now, e.Value)
+				c.serveAt(now, e.Value, u)
 				served = true
 			}
 		}
 	}
 	c.serveCold(now, s)
+	c.useCredits(now, s)
 	c.askForCredits(now, s)
 	for !c.hasOwn(now, s) && s.queue.FreeLen() > 0 && s.spill.Admits(now, s.spilled, loadcontrol.Class{}) && c.hasForeign(now, s) {
 		e := s.queue.Next(now, nil, s.work.Mean())
@@ -119,7 +132,7 @@
 			if e == nil {
 				return
 			}
-			c.serve(now, e.Value)
+			c.serveAt(now, e.Value, u)
 		}
 	}
 }
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -1,10 +1,12 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -42,8 +44,10 @@
 	zones   []string
 	// applyWithin is the time within which hosts apply a configuration.
 	applyWithin time.Duration
-	programs    string
-	logDir      string
+	// paced bounds evacuations and new flows to cold upstreams in the settings.
+	paced    bool
+	programs string
+	logDir   string
 }
 
 // newHost writes the settings of host n and opens its link to the store. The
@@ -62,6 +66,9 @@
 		Name: h.name, Zone: h.zone, Zones: d.zones, Data: h.data, Ready: h.ready, Control: h.control,
 		Contacts: contacts, Store: h.store.addr(), StopTimeout: stopTimeout, ApplyTimeout: d.applyWithin,
 	}
+	if d.paced {
+		settings.EvacuateTimeout, settings.ColdOver, settings.ColdSlack = evacuateWithin, coldOver, coldSlack
+	}
 	h.validSettings, err = settings.Encode()
 	if err != nil {
 		return nil, eris.Wrapf(err, "settings of %s can't be encoded", h.name)
@@ -70,11 +77,28 @@
 	if err := h.writeSettings(h.validSettings); err != nil {
 		return nil, err
 	}
-	h.process, err = newProcess(h.name, filepath.Join(d.logDir, h.name+".log"), filepath.Join(d.programs, "mimosad-dsr"), nil,
+	h.process, err = newProcess(h.name, filepath.Join(d.logDir, h.name+".log"), filepath.Join(d.programs, "mimosad-dsr"), d.network.held,
 		"--settings", h.settingsPath, "--metrics-port", fmt.Sprint(hostAdminPort))
 	return h, err
 }
 
+// stateURL returns the URL of the host's state.
+func (h *host) stateURL() string {
+	return "http://" + netip.AddrPortFrom(h.data.Addr(), hostAdminPort).String() + "/state"
+}
+
+// lacks returns what the host says that it has not received yet.
+func (h *host) lacks(ctx context.Context) string {
+	var state struct{ Lacks []string }
+	switch err := get(ctx, h.stateURL(), &state); {
+	case err != nil:
+		return "its state is not known: " + err.Error()
+	case len(state.Lacks) == 0:
+		return "it lacks nothing"
+	}
+	return "it lacks " + strings.Join(state.Lacks, ", ")
+}
+
 func (h *host) writeSettings(b []byte) error {
 	return eris.Wrap(os.WriteFile(h.settingsPath, b, 0o600), "settings can't be written")
 }
--- a/internal/soak/platformfaults.go
+++ b/internal/soak/platformfaults.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
-	"net/netip"
 	"slices"
 	"sync"
 	"syscall"
@@ -102,6 +100,10 @@
 		e.loseDatagrams(ctx, f)
 	case upstreamSlow:
 		e.operator.slowDown(ctx, f)
+	case zoneEvacuation:
+		e.operator.evacuate(ctx, f)
+	case upstreamOverload:
+		return e.overloadService(ctx, f)
 	default:
 		return e.injectUpstreamFault(ctx, f)
 	}
@@ -204,9 +206,7 @@
 // readerOf returns the index of the host that reads the store for a host, or -1.
 func (e *platformEnv) readerOf(h *host) int {
 	var state struct{ Reader string }
-	admin := netip.AddrPortFrom(h.data.Addr(), hostAdminPort)
-	request, err := http.NewRequest(http.MethodGet, "http://"+admin.String()+"/state", nil)
-	if err != nil || do(request, &state) != nil {
+	if get(context.Background(), h.stateURL(), &state) != nil {
 		return -1
 	}
 	return slices.IndexFunc(e.hosts, func(r *host) bool { return r.control.String() == state.Reader })
@@ -312,6 +312,7 @@
 			return e.operator.restart(ctx, s, lateRestartTime, false)
 		})
 	case upstreamLink:
+		defer e.record.beginDisruption("link of "+s.name, false)()
 		err := s.link.setMode(f.mode)
 		sleep(ctx, f.duration)
 		return errors.Join(err, s.link.setMode(linkOpen))
--- a/internal/standin/dsrworld/config.go
+++ b/internal/standin/dsrworld/config.go
@@ -21,11 +21,20 @@
 	}
 }
 
+// Service returns a service in the JSON form in which operators write it: its upstreams are cold for a
+// time after their start, and meant for so many new flows a second meanwhile.
+func Service(name string, coldStart time.Duration, coldPerS float64) map[string]any {
+	return map[string]any{"name": name, "coldStartS": coldStart.Seconds(), "coldPerS": coldPerS}
+}
+
 // Configuration returns a configuration in the JSON form in which operators write
 // it.
-func Configuration(version int, routes []any) map[string]any {
+func Configuration(version int, routes []any, services ...any) map[string]any {
+	if services == nil {
+		services = []any{}
+	}
 	return map[string]any{
-		"version": version, "routes": routes, "services": []any{}, "limits": map[string]any{"idleTimeoutMs": 15000},
+		"version": version, "routes": routes, "services": services, "limits": map[string]any{"idleTimeoutMs": 15000},
 	}
 }
 
