--- a/internal/dsr/cold_test.go
+++ b/internal/dsr/cold_test.go
@@ -64,6 +64,7 @@
 		{"started in another zone", start("b"), none},
 		{"started just before a full read", fullRead(100), paced},
 		{"started long before a full read", fullRead(60_000), warm},
+		{"started by a clock that is ahead", fullRead(-3_000), paced},
 		{"by a later write of the incarnation", func(f *fixture) {
 			start("a")(f)
 			f.advance(3 * time.Second)
