dsr, loadcontrol: findings of the review of waiting requests

Cause (each shown by a test of the reviewer): later grants renewed earlier lent slots; the bound on bytes held for the first packet of a request only; one route with a deadline made a service wait whose other routes declare none; a SYN was rejected although its copies had evidently gone elsewhere; a packet overtaken by a later one was dropped as its copy; a SYN from a port used again never waited; the lists of cold and lined upstreams grew; an evacuation's end was in map order; denials counted one too many. Change: an end for each lent slot; both bounds for each packet; all routes of a service must declare both times; copies of a waiting SYN are counted; an earlier packet waits in front; lists hold each upstream once; requests of a lower priority do not push out urgent ones; nothing is held once the host stops.

--- a/internal/dsr/cold.go
+++ b/internal/dsr/cold.go
@@ -1,6 +1,7 @@
 package dsr
 
 import (
+	"slices"
 	"time"
 
 	"mimosashore.example/mimosashore/internal/directory"
@@ -93,15 +94,18 @@
 func (u *upstream) coldState() *coldStart {
 	if u.cold == nil {
 		u.cold = new(coldStart)
-		u.service.coldUpstreams = append(u.service.coldUpstreams, u)
+		s := u.service
+		s.coldUpstreams = slices.DeleteFunc(s.coldUpstreams, func(v *upstream) bool { return v.gone || v.cold == nil || v == u })
+		s.coldUpstreams = append(s.coldUpstreams, u)
 	}
 	return u.cold
 }
 
 // coolZone makes the upstreams of a zone cold that is in use again.
 func (c *Core) coolZone(now time.Duration, zone string) {
-	for _, u := range c.byKey {
-		if u.Zone == zone {
+	// The zone has its upstreams in the order in which they registered.
+	if z := c.zones[zone]; z != nil {
+		for _, u := range z.upstreams {
 			c.coldSince(now, u)
 		}
 	}
--- a/internal/dsr/core.go
+++ b/internal/dsr/core.go
@@ -180,7 +180,7 @@
 		c.declared[name] = true
 	}
 	for _, s := range c.services {
-		s.latencyObjective, s.deadline, s.lowestPriority, s.coldStart = 0, 0, 0, nil
+		s.latencyObjective, s.deadline, s.lowestPriority, s.coldStart, s.undeclared = 0, 0, 0, nil, false
 	}
 	for name, cold := range n.ColdStarts {
 		c.serviceOf(name).coldStart = &cold
@@ -247,6 +247,10 @@
 	}
 	key := flowKey{p.Caller, p.Service}
 	f := c.cache.flows[key]
+	if w := c.waiting.byKey[key]; w != nil && w.upstream == nil {
+		// The flow is open: another host forwarded a copy of the SYN.
+		c.dropWaiting(w)
+	}
 	u := c.tokens[p.Token]
 	if f != nil && !f.upstream.gone && (f.upstream.token == p.Token || f.continuedBy(p)) {
 		u = f.upstream
--- a/internal/dsr/lending.go
+++ b/internal/dsr/lending.go
@@ -82,12 +82,10 @@
 		if u == nil || u.service != s || u.share != 0 || !u.usable() || u.suspect(now) || c.coldLeft(now, u) > 0 || cr.Count <= 0 {
 			continue
 		}
-		if now >= u.creditUntil {
-			u.credits = 0
+		if u.credits.Lent(now) == 0 && !slices.Contains(s.borrowed, u) {
 			s.borrowed = append(s.borrowed, u)
 		}
-		u.credits = min(u.credits+cr.Count, loadcontrol.MaxCredits)
-		u.creditUntil = askedAt + loadcontrol.CreditTime
+		u.credits.Add(min(cr.Count, loadcontrol.MaxCredits), askedAt+loadcontrol.CreditTime)
 		accepted += min(cr.Count, loadcontrol.MaxCredits)
 	}
 	if accepted > 0 {
@@ -99,12 +97,12 @@
 
 // hasCredit reports whether a slot that another host lent is free.
 func (u *upstream) hasCredit(now time.Duration) bool {
-	return now < u.creditUntil && u.busy+u.opening < u.credits
+	return u.placementShare() == 0 && u.busy+u.opening < u.credits.Lent(now)
 }
 
 // useCredits places waiting callers at upstreams of which other hosts lent slots.
 func (c *Core) useCredits(now time.Duration, s *service) {
-	s.borrowed = slices.DeleteFunc(s.borrowed, func(u *upstream) bool { return now >= u.creditUntil || u.gone })
+	s.borrowed = slices.DeleteFunc(s.borrowed, func(u *upstream) bool { return u.credits.Lent(now) == 0 || u.gone })
 	for _, u := range s.borrowed {
 		for u.hasCredit(now) && s.queue.FreeLen() > 0 && u.usable() && !u.suspect(now) && c.coldLeft(now, u) == 0 {
 			c.serveAt(now, s.queue.Next(now, nil, u.learnedWork(now)).Value, u)
--- a/internal/dsr/lending_test.go
+++ b/internal/dsr/lending_test.go
@@ -86,3 +86,17 @@
 	u.backoff.extend(idle.now, idle.now)
 	require.Empty(t, idle.core.Lend(idle.now, "orders", 4))
 }
+
+// Guards against slots that a later grant makes usable for longer than they were lent.
+func TestEachLentSlotHasItsOwnEnd(t *testing.T) {
+	short, idle, _ := lendingFixtures(t)
+	ask := short.core.TakeAsks()[0]
+	credits := idle.core.Lend(idle.now, ask.Service, 1)
+	u := short.core.tokens[credits[0].Token]
+	short.advance(time.Millisecond)
+	for range 4 {
+		require.Equal(t, 1, short.core.Borrow(short.now, short.now, ask.Service, credits))
+		require.LessOrEqual(t, u.credits.Lent(short.now), 2)
+		short.advance(loadcontrol.CreditTime * 6 / 10)
+	}
+}
--- a/internal/dsr/opening.go
+++ b/internal/dsr/opening.go
@@ -29,6 +29,7 @@
 	}
 	if w := c.waiting.byKey[key]; w != nil {
 		if w.upstream == nil && w.packets[0].header.Seq == p.Seq {
+			w.copies = max(w.copies, p.SYNRetransmits)
 			return Effect{Action: Drop, Reason: ReasonWaitingCopy}
 		}
 		c.dropWaiting(w)
@@ -36,6 +37,10 @@
 	choice := c.choose(now, r, p)
 	s := choice.state
 	if choice.upstream == nil {
+		if reused && !f.isOpen() {
+			// The flow before has ended.
+			f = nil
+		}
 		return c.handleNotPlaced(now, p, r, f, choice)
 	}
 	if reused {
@@ -72,7 +77,7 @@
 		return e
 	}
 	scheduled := ch.state != nil && ch.state.schedules()
-	if ch.reason == ReasonPaced && f == nil && scheduled && !c.waiting.draining {
+	if ch.reason == ReasonPaced && f == nil && scheduled && !c.waiting.draining && !c.waiting.stopped {
 		return c.waitOrReject(now, p, r, ch)
 	}
 	if ch.reason == ReasonPaced && !scheduled && p.SYNRetransmits == 0 && f == nil {
--- a/internal/dsr/servewaiting.go
+++ b/internal/dsr/servewaiting.go
@@ -8,6 +8,10 @@
 	"mimosashore.example/mimosashore/internal/schedule"
 )
 
+// lateSearchSize is the number of waiting SYNs, in the order of their arrival, that are looked at in a search for those
+// that can't be in time.
+const lateSearchSize = 64
+
 // serve releases a request that takes a slot. It is routed anew, since the directory or the flow may
 // have changed meanwhile.
 func (c *Core) serve(now time.Duration, w *waitingRequest) {
@@ -147,13 +151,13 @@
 			continue
 		}
 		next := c.waiting.rejectable[classIndex(urgent)].First()
-		for w := next; w != nil; w = next {
+		for w, seen := next, 0; w != nil && seen < lateSearchSize; w, seen = next, seen+1 {
 			next = w.links.Next()
 			if w.service != s {
 				continue
 			}
 			if !s.queue.Late(now, &w.entry) {
-				break
+				continue
 			}
 			c.endWait(now, w, true, "overloaded")
 		}
--- a/internal/dsr/service.go
+++ b/internal/dsr/service.go
@@ -41,9 +41,10 @@
 	// the priority of the least urgent one.
 	latencyObjective time.Duration
 	lowestPriority   int
-	// deadline is the longest deadline of the routes to the service; zero if a route declares none, or no
+	// deadline is the longest deadline of the routes to the service. undeclared is set if a route declares none, or no
 	// latency objective.
-	deadline time.Duration
+	undeclared bool
+	deadline   time.Duration
 	// urgentWaiting is the number of urgent requests in the queue.
 	urgentWaiting int
 	// coldUpstreams holds those that may be cold.
@@ -76,6 +77,7 @@
 	}
 	s.lowestPriority = max(s.lowestPriority, r.Priority)
 	s.deadline = max(s.deadline, r.Timeout)
+	s.undeclared = s.undeclared || r.LatencyObjective <= 0 || r.Timeout <= 0
 }
 
 // repeatLoad returns the mean number of requests in progress on an open flow that were not its first.
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -83,11 +83,8 @@
 	// idle.
 	line      schedule.Line[*waitingRequest]
 	busySince time.Duration
-	// lender counts the slots that are lent to other hosts, credits those that other hosts lent to this one until
-	// creditUntil.
-	lender      loadcontrol.Lender
-	credits     int
-	creditUntil time.Duration
+	// lender counts the slots that are lent to other hosts, credits those that other hosts lent to this one.
+	lender, credits loadcontrol.Lender
 	// rank orders the upstreams of a service in the same way on all hosts.
 	rank uint64
 	// share is the part of the upstream that this host is responsible for.
--- a/internal/dsr/waiting.go
+++ b/internal/dsr/waiting.go
@@ -26,6 +26,8 @@
 	// copyIsRecent is the time before the end of a wait in which a copy of the packet shows that the caller has not given
 	// up: it may be sent at the deadline that the route declares.
 	copyIsRecent = 20 * time.Millisecond
+	// copyMargin is how late a copy of a SYN may come.
+	copyMargin = 50 * time.Millisecond
 	// waitingInterval is how often the core is called while requests wait: for limits below one request,
 	// deadlines, and upstreams that stop answering.
 	waitingInterval = 5 * time.Millisecond
@@ -52,7 +54,9 @@
 	class    loadcontrol.Class
 	since    time.Duration
 	// copyAt is when a copy of a packet that waits last came; zero is never.
-	copyAt  time.Duration
+	copyAt time.Duration
+	// copies is the number of the last copy of a waiting SYN.
+	copies  uint32
 	links   list.Links[waitingRequest]
 	rank    int
 	packets []waitingPacket
@@ -79,6 +83,8 @@
 	free       []*waitingRequest
 	// draining is set while waiting requests are released, so that their packets are not held again.
 	draining bool
+	// stopped is set once the host stops: nothing is held any more.
+	stopped bool
 	// target is the upstream whose free slot a released SYN takes; nil if any may take it.
 	target *upstream
 }
@@ -94,7 +100,7 @@
 // schedules reports whether requests of the service wait at the host: the host holds requests, and the routes of
 // the service declare when an answer is in time and when callers give up.
 func (s *service) schedules() bool {
-	return !s.queuesAtUpstreams && s.latencyObjective > 0 && s.deadline > 0
+	return !s.queuesAtUpstreams && !s.undeclared && s.latencyObjective > 0 && s.deadline > 0
 }
 
 // QueueAtUpstreams makes requests go to their upstreams at once, which queue them, instead of waiting at this host
@@ -116,7 +122,7 @@
 		return Effect{}, false
 	case w != nil && p.Length > 0:
 		return c.holdBehind(now, w, p), true
-	case w != nil || p.Length == 0 || c.waiting.draining:
+	case w != nil || p.Length == 0 || c.waiting.draining || c.waiting.stopped:
 		return Effect{}, false
 	}
 	u := f.upstream
@@ -133,14 +139,24 @@
 	return c.hold(now, w, p, ReasonWaiting), true
 }
 
-// holdBehind makes a packet wait behind another one of its flow.
+// holdBehind makes a packet wait with others of its flow, in order.
 func (c *Core) holdBehind(now time.Duration, w *waitingRequest, p *Packet) Effect {
-	last := &w.packets[len(w.packets)-1].header
-	if int32(p.Seq-(last.Seq+uint32(last.Length))) < 0 || len(w.packets) >= maxWaitingPackets {
+	first, last := &w.packets[0].header, &w.packets[len(w.packets)-1].header
+	earlier := int32(p.Seq+uint32(p.Length)-first.Seq) <= 0
+	switch {
+	case !earlier && int32(p.Seq-(last.Seq+uint32(last.Length))) < 0:
 		w.copyAt = now
 		return Effect{Action: Drop, Reason: ReasonWaitingCopy}
+	case len(w.packets) >= maxWaitingPackets || c.waiting.bytes+p.Length+packetOverhead > maxWaitingBytes:
+		// The caller sends it again.
+		return Effect{Action: Drop, Reason: ReasonWaitingCopy}
+	}
+	e := c.keepPacket(w, p, ReasonWaiting)
+	if earlier {
+		// A later packet overtook it.
+		w.packets = slices.Insert(w.packets[:len(w.packets)-1], 0, w.packets[len(w.packets)-1])
 	}
-	return c.keepPacket(w, p, ReasonWaiting)
+	return e
 }
 
 // newWaiting returns a request that waits for an upstream, or for any if it is nil.
@@ -182,11 +198,17 @@
 
 // hold makes a request wait, whose first packet is given.
 func (c *Core) hold(now time.Duration, w *waitingRequest, p *Packet, reason Reason) Effect {
-	c.makeSpace(now, p)
+	if !c.makeSpace(now, w, p) {
+		c.recycle(w)
+		if w.entry.Rejectable {
+			return Effect{Action: Reset, Reason: ReasonOverloaded}
+		}
+		return Effect{Action: Drop, Reason: ReasonWaitEnded}
+	}
 	var line *schedule.Line[*waitingRequest]
 	if w.upstream != nil {
 		line = &w.upstream.line
-		if line.Len() == 0 {
+		if line.Len() == 0 && !slices.Contains(w.service.lined, w.upstream) {
 			w.service.lined = append(w.service.lined, w.upstream)
 		}
 	}
@@ -203,8 +225,9 @@
 	return c.keepPacket(w, p, reason)
 }
 
-// makeSpace keeps the bounds of what waits: the request of the lowest rank gives way.
-func (c *Core) makeSpace(now time.Duration, p *Packet) {
+// makeSpace keeps the bounds of what waits: the request of the lowest rank gives way. It reports false if that is
+// the new one.
+func (c *Core) makeSpace(now time.Duration, w *waitingRequest, p *Packet) bool {
 	for len(c.waiting.byKey) >= maxWaiting || c.waiting.bytes+p.Length+packetOverhead > maxWaitingBytes {
 		var lowest *waitingRequest
 		for _, s := range c.waiting.services {
@@ -212,11 +235,12 @@
 				lowest = e.Value
 			}
 		}
-		if lowest == nil {
-			return
+		if lowest == nil || lowest.entry.Priority < w.entry.Priority {
+			return false
 		}
 		c.endWait(now, lowest, lowest.entry.Rejectable, "too much waits")
 	}
+	return true
 }
 
 func (c *Core) keepPacket(w *waitingRequest, p *Packet, reason Reason) Effect {
@@ -261,6 +285,7 @@
 // not run. Otherwise its packets are dropped; the caller sends them again if it still waits for an answer.
 func (c *Core) endWait(now time.Duration, w *waitingRequest, rejected bool, cause string) {
 	s := w.service
+	rejected = rejected && !w.lacksCopies(now)
 	e, event := Effect{Action: Drop, Reason: ReasonWaitEnded}, "request not served"
 	if rejected {
 		e, event = Effect{Action: Reset, Reason: ReasonOverloaded}, "flow refused"
@@ -283,6 +308,17 @@
 	c.recycle(w)
 }
 
+// lacksCopies reports whether copies of a waiting SYN did not come when they were due. They may have reached
+// another host, which may have forwarded them.
+func (w *waitingRequest) lacksCopies(now time.Duration) bool {
+	for n := uint32(1); n <= 2; n++ {
+		if now-w.since > synCopyAge(n)+copyMargin && w.copies < n {
+			return true
+		}
+	}
+	return false
+}
+
 // outlook returns the outlook of a SYN for which no upstream has room, and whether it is rejected because it
 // would not be served.
 func (c *Core) outlook(now time.Duration, p *Packet, r *route, ch choice) (a schedule.Assessment, rejected bool) {
@@ -339,6 +375,7 @@
 // StopWaiting ends all waits before the host stops: requests on open flows are sent on. SYNs that no upstream has
 // room for are rejected if the service is overloaded, and dropped otherwise: their copies reach other hosts.
 func (c *Core) StopWaiting(now time.Duration) {
+	c.waiting.stopped = true
 	c.serveWaiting(now)
 	left := slices.SortedFunc(maps.Values(c.waiting.byKey), func(a, b *waitingRequest) int {
 		return cmp.Compare(a.packets[0].id, b.packets[0].id)
--- a/internal/dsrhost/waiting.go
+++ b/internal/dsrhost/waiting.go
@@ -49,6 +49,9 @@
 	for _, r := range d.core.TakeReleases() {
 		b := d.waiting.take(r.Hold)
 		d.host.stats.countPacket(r.Effect)
+		if r.Effect.Resync {
+			d.host.feed.requestResync()
+		}
 		d.carryOut(b, overhead, &r.Header, r.Effect)
 		d.waiting.release(b)
 	}
--- a/internal/loadcontrol/credit.go
+++ b/internal/loadcontrol/credit.go
@@ -6,10 +6,10 @@
 )
 
 const (
-	// CreditTime is how long a lent slot may be used, counted from the request for it: one request after the other. At
-	// a work of 30 to 50 ms it serves ten or more of them, so that few messages are needed; a slot that the borrower does
-	// not need is missing at its own host for as long.
-	CreditTime = 500 * time.Millisecond
+	// CreditTime is how long a lent slot may be used, counted from the request for it: one request after the other, some
+	// four of them at a work of 30 to 50 ms. A slot that the borrower does not need is missing at its own host for as
+	// long: with 500 ms, a small deployment lost more than it won.
+	CreditTime = 150 * time.Millisecond
 	// MaxCredits is the largest number of slots in an answer.
 	MaxCredits = 8
 	// lendableShare is the part of its free slots that a host lends at a time: its own callers need the rest.
@@ -18,6 +18,8 @@
 	// request without one, up to askIntervalMax, so that hosts that are all short don't ask all the time.
 	askIntervalMin = 10 * time.Millisecond
 	askIntervalMax = 80 * time.Millisecond
+	// shortageGap is the time without a request after which a shortage counts as a new one.
+	shortageGap = time.Second
 	// asksPerSecond and askBurst bound the requests of a host. Each goes to two hosts, and with the answers takes
 	// about 300 bytes; a host is asked as often as it asks. 12 a second are 7.2 KB a second, of a budget of 8.
 	asksPerSecond = 12
@@ -47,10 +49,16 @@
 // work is the time that a request takes a slot.
 func (l *Lender) Lend(now time.Duration, free float64, wanted int, work time.Duration) int {
 	n := min(int(math.Ceil(free*lendableShare)), int(free), wanted)
+	n = max(n, 0)
+	l.Add(n, now+CreditTime+work)
+	return n
+}
+
+// Add counts slots that are lent until the given time.
+func (l *Lender) Add(n int, until time.Duration) {
 	for range n {
-		l.until = append(l.until, now+CreditTime+work)
+		l.until = append(l.until, until)
 	}
-	return max(n, 0)
 }
 
 // Asker decides when a host that is short of slots asks others for credits. The zero value is ready to use.
@@ -58,13 +66,18 @@
 	interval, nextAt time.Duration
 	tokens           float64
 	tokensAt         time.Duration
-	started          bool
+	// denials counts the requests since the last grant, denialsBefore without the last one.
+	denials, denialsBefore int
+	started                bool
 }
 
 // Ask reports whether the host asks now, and counts the request.
 func (a *Asker) Ask(now time.Duration) bool {
 	if !a.started {
-		a.started, a.interval, a.tokens, a.tokensAt = true, askIntervalMin, askBurst, now
+		a.started, a.tokens, a.tokensAt = true, askBurst, now
+	}
+	if now-a.nextAt > shortageGap {
+		a.interval, a.denials = askIntervalMin, 0
 	}
 	a.tokens = min(askBurst, a.tokens+(now-a.tokensAt).Seconds()*asksPerSecond)
 	a.tokensAt = now
@@ -72,21 +85,18 @@
 		return false
 	}
 	a.tokens--
-	a.nextAt = now + a.interval
-	a.interval = min(2*a.interval, askIntervalMax)
+	a.nextAt = now + max(a.interval, askIntervalMin)
+	a.interval = min(2*max(a.interval, askIntervalMin), askIntervalMax)
+	a.denialsBefore = a.denials
+	a.denials++
 	return true
 }
 
 // Granted records that a request was granted.
 func (a *Asker) Granted(now time.Duration) {
-	a.interval = askIntervalMin
+	a.interval, a.denials = askIntervalMin, 0
 	a.nextAt = min(a.nextAt, now+askIntervalMin)
 }
 
-// Denials returns the number of requests in a row that were not granted, as far as it is known.
-func (a *Asker) Denials() int {
-	if a.interval <= askIntervalMin {
-		return 0
-	}
-	return int(math.Log2(float64(a.interval / askIntervalMin)))
-}
+// Denials returns the number of requests in a row before the last one that were not granted, as far as it is known.
+func (a *Asker) Denials() int { return a.denialsBefore }
