dsr, replica, dsrpeer, dsrhost: findings of the review of the exchange and of learned capacity

Change: the new request counts as one; a published full update has the stored entries; refusals close the connection; a due full read is not delayed.

--- a/internal/dsr/learned.go
+++ b/internal/dsr/learned.go
@@ -400,7 +400,8 @@
 	if u.share == 0 {
 		return 0
 	}
-	return int(math.Round(float64(u.busy+1) / u.share))
+	// The new request is one; the others of this host stand for those of the hosts that share the upstream.
+	return 1 + int(math.Round(float64(u.busy)/u.share))
 }
 
 // callerID identifies the caller of a flow by its address, since a link delays all of its flows.
--- a/internal/dsr/learnedflows_test.go
+++ b/internal/dsr/learnedflows_test.go
@@ -158,3 +158,12 @@
 	reject(flagFIN, true)
 	require.EqualValues(t, 1, f.core.LearnedCounts().Sheds)
 }
+
+// Guards against a single request at a shared upstream that counts as several in progress, which made its work seem
+// shorter than it was and usual upstreams slow.
+func TestSingleRequestAtSharedUpstreamIsOneInProgress(t *testing.T) {
+	u := &upstream{share: 0.2}
+	require.Equal(t, 1, u.inProgress())
+	u.busy = 1
+	require.Equal(t, 6, u.inProgress())
+}
--- a/internal/dsrhost/feed.go
+++ b/internal/dsrhost/feed.go
@@ -218,7 +218,7 @@
 
 // waitWhileDelegated blocks while another host reads the store for this one, unless a full read is requested.
 func (f *feed) waitWhileDelegated(ctx context.Context) {
-	for f.delegated != nil && f.delegated() && ctx.Err() == nil {
+	for f.delegated != nil && f.delegated() && !f.fullReadPending && ctx.Err() == nil {
 		f.watchPromptly = true
 		select {
 		case <-ctx.Done():
--- a/internal/dsrpeer/serve.go
+++ b/internal/dsrpeer/serve.go
@@ -54,6 +54,8 @@
 // refuse refuses a connection because of a limit.
 func (p *Peer) refuse(w http.ResponseWriter) {
 	p.Stats.Refused.Add(1)
+	// The dialing side would keep the connection for reuse.
+	w.Header().Set("Connection", "close")
 	http.Error(w, "too many connections", http.StatusServiceUnavailable)
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -117,7 +117,12 @@
 	}
 	r.changes++
 	fresh := Update{Full: u.Full && newer, Era: r.position.Era, AtRevision: r.position.Revision, Events: events, KeptFor: r.keptFor(), Change: r.changes}
-	r.publish(fresh)
+	published := fresh
+	if fresh.Full {
+		// The replicas of subscribers count as complete: they need the stored entries behind kept ones too.
+		published.Events = append(slices.Clone(fresh.Events), r.shadowed()...)
+	}
+	r.publish(published)
 	return fresh, true
 }
 
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -304,3 +304,22 @@
 	r.Unsubscribe(s)
 	require.True(t, u.Full)
 }
+
+// Guards against a follower that loses a stored registration when a kept one expires: its replica lacked the stored
+// entry behind the kept one, since it followed while the store was restored.
+func TestFollowerOfRestoreHasStoredEntryBehindKeptOne(t *testing.T) {
+	r, now := newReplica()
+	follower, _ := newReplica()
+	first := Update{Full: true, Era: 1, AtRevision: 9, Events: []store.Event{value("a", "2", 1, 9)}}
+	r.Apply(first)
+	follower.Apply(first)
+	_, s := r.Subscribe()
+	r.Apply(Update{Full: true, Era: 2, AtRevision: 5, Events: []store.Event{value("a", "1", 2, 4)}})
+	follower.Apply(<-s.C)
+	require.Equal(t, r.Position(), follower.Position())
+	*now += time.Hour
+	follower.mu.Lock()
+	_, stored := follower.items["a"]
+	follower.mu.Unlock()
+	require.True(t, stored)
+}
