dsr: the state counts the requests that wait at the host

Cause: the state showed the callers counted by the old table only, so zero where requests wait at the host. Change: both are added up; the doc comment of loadcontrol says what holds where requests wait, and names the lending of slots. Measured: tests of dsr and dsrhost pass; no test covers the number.

--- a/internal/dsr/state.go
+++ b/internal/dsr/state.go
@@ -97,7 +97,7 @@
 		}
 		s.Services = append(s.Services, ServiceState{
 			Name: name, OwnSlots: v.ownSlots, WorkMs: v.work.Mean().Seconds() * 1000, Demand: v.demand.Rate(now),
-			Waiting: v.waiting, Spilled: v.spilled, SpillLimit: v.spill.Size(),
+			Waiting: v.waiting + v.queue.Len(), Spilled: v.spilled, SpillLimit: v.spill.Size(),
 		})
 	}
 	slices.SortFunc(s.Services, func(a, b ServiceState) int { return cmp.Compare(a.Name, b.Name) })
--- a/internal/loadcontrol/doc.go
+++ b/internal/loadcontrol/doc.go
@@ -7,6 +7,9 @@
 // adapt a limit of its own. Therefore the hosts of an availability zone divide its upstreams among
 // themselves, and each host knows the load of the upstreams that it is responsible for.
 //
+// Where requests wait at the host (package schedule), Limit, Class and the waiting part of Demand decide
+// nothing: an upstream gets what it works on, and the order of the queue says who goes first.
+//
 //	load pattern                     rule                                        reason
 //	hosts outnumber upstreams        Position.Share: parts of an upstream that   limits of all hosts add up to
 //	                                 add up to one                               what the upstream has
@@ -23,6 +26,9 @@
 //	                                 late ones a smaller one                     that aren't late can be in time
 //	upstreams return empty           ColdOwners, ColdPacer: one host of the      a burst makes them slow for all;
 //	                                 zone opens few flows to each                a bound per host would not add up
+//	one host is short, others idle   Asker, Lender: slots are lent on request    a slot is promised to one host
+//	                                                                             only, and nothing is sent while
+//	                                                                             nobody waits
 //	requests on open flows           count as open before they are sent          a host can't refuse them
 //
 // Ways that were weighed, each against what a host can see:
@@ -32,7 +38,7 @@
 //     foreign upstreams of a service together.
 //   - CoDel sheds by the time in the queue; the queue is at the upstream, where no host sees it. Demand
 //     takes its place: a backlog that the slots can't work off is refused.
-//   - Credits (Breakwater) and probes of load (Prequal) need answers from upstreams, which go to callers.
+//   - Credits of upstreams (Breakwater) and probes of load (Prequal) need answers from upstreams, which go to callers.
 //   - Priorities per business and user (DAGOR) need an admission level that all hosts share. Class has
 //     the two levels that routes declare.
 package loadcontrol
