dsr: nothing is learned of upstreams whose requests queue there

Where requests queue at upstreams, choices follow the mean latency again, and the state has latency_ms again.

--- a/internal/dsr/choose.go
+++ b/internal/dsr/choose.go
@@ -131,19 +131,18 @@
 		}
 		return c.hasRoom(now, s, u) && c.isWorthwhile(now, s, u, ch.class)
 	}
-	limit := u.learnedLimit(now)
-	slots := share * limit
+	slots := share * float64(u.Slots)
 	if share == 0 {
 		if !spills {
 			return false
 		}
-		slots = limit
+		slots = float64(u.Slots)
 	}
 	open := float64(u.busy + u.opening)
 	if !ch.class.Urgent {
 		open += ch.repeatLoad * float64(u.flows-u.busy)
 	}
-	work := u.placementWork(now)
+	work := time.Duration(float64(s.work.Mean()) * u.slowdown(now, s))
 	return u.pacer.Admits(now, open, loadcontrol.Limit(slots, work, objective), ch.class, work)
 }
 
--- a/internal/dsr/learned.go
+++ b/internal/dsr/learned.go
@@ -102,12 +102,9 @@
 // lower for a slow upstream that would answer late; a request on an open flow, which can't go elsewhere,
 // is bounded by learnedKnee only.
 func (u *upstream) learnedLimit(now time.Duration) float64 {
-	if u.service.queuesAtUpstreams {
-		return float64(u.Slots)
-	}
 	limit := u.learnedKnee(now)
 	objective := u.service.latencyObjective
-	if objective <= 0 || !u.learned.Slow(now) {
+	if !u.service.schedules() || !u.learned.Slow(now) {
 		return limit
 	}
 	work := u.learned.Work(now, &u.service.peers)
@@ -117,9 +114,9 @@
 }
 
 // learnedKnee returns the number of requests above which the upstream rejects them or gets slower in
-// proportion, at most its slots. It is the slots for a service without a latency objective.
+// proportion, at most its slots. It is the slots for a service whose requests queue at upstreams.
 func (u *upstream) learnedKnee(now time.Duration) float64 {
-	if u.service.latencyObjective <= 0 {
+	if !u.service.schedules() {
 		return float64(u.Slots)
 	}
 	return u.learned.Limit(now, &u.service.peers, u.Slots)
@@ -138,15 +135,6 @@
 	return time.Duration(float64(work) * u.slowStart(now))
 }
 
-// placementWork returns the work from which the limit for new flows follows. The mean of the service includes some
-// queueing under load, which keeps queues at upstreams short as long as hosts hold no requests.
-func (u *upstream) placementWork(now time.Duration) time.Duration {
-	if u.learned.Slow(now) {
-		return u.learnedWork(now)
-	}
-	return time.Duration(float64(u.service.work.Mean()) * u.slowStart(now))
-}
-
 // slowStart returns the assumed slowdown of an upstream during slow start.
 func (u *upstream) slowStart(now time.Duration) float64 {
 	if now < u.slowStartUntil {
@@ -158,6 +146,9 @@
 // learnedCost returns the expected wait of a request at an upstream, in requests per slot, with the given load in
 // requests. At a slow upstream it is not less than the work of the request itself, since a request has one slot.
 func (u *upstream) learnedCost(now time.Duration, load float64, class loadcontrol.Class) float64 {
+	if !u.service.schedules() {
+		return (load + 1) * u.slowdown(now, u.service) / float64(u.Slots)
+	}
 	cost := (load + 1) / max(u.learnedLimit(now), minLimit)
 	switch {
 	case u.wantsProbe(now, class):
@@ -246,7 +237,7 @@
 // data, the answer may have come earlier.
 func (c *Core) learnAnswer(now time.Duration, f *flow, early bool) {
 	u := f.upstream
-	if u.gone || c.linkMonitor.degradedAt >= f.busyAt {
+	if u.gone || !u.service.schedules() || c.linkMonitor.degradedAt >= f.busyAt {
 		return
 	}
 	// A single handshake may have been delayed.
@@ -334,7 +325,7 @@
 		u := f.upstream
 		waited := now - f.busyAt - u.zone.transit
 		reference := u.service.peers.Reference()
-		if f.counted != 0 || f.resentAt != 0 || reference == 0 || waited < pendingFactor*reference || u.gone || c.linkMonitor.degradedAt >= f.busyAt {
+		if f.counted != 0 || f.resentAt != 0 || reference == 0 || waited < pendingFactor*reference || u.gone || !u.service.schedules() || c.linkMonitor.degradedAt >= f.busyAt {
 			continue
 		}
 		f.counted = now - f.busyAt
--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -43,8 +43,11 @@
 // busyTimeout returns when an unanswered request at the upstream stops counting as work in progress. Where
 // requests wait for it, an answer that is not acknowledged keeps them waiting.
 func (u *upstream) busyTimeout(now time.Duration) time.Duration {
+	if !u.service.schedules() {
+		return u.service.busyTimeout()
+	}
 	work := max(u.learnedWork(now), u.service.work.Mean())
-	if !u.service.schedules() || work == 0 {
+	if work == 0 {
 		return u.service.busyTimeout()
 	}
 	return min(max(scheduledBusyMin, scheduledBusyFactor*work), busyTimeoutMax)
@@ -156,6 +159,8 @@
 	u := f.upstream
 	c.samples = append(c.samples, Sample{SampleAnswer, d})
 	seconds := d.Seconds()
+	u.latency = ewma(u.latency, seconds)
+	u.latencyAt = now
 	s := u.service
 	// The mean of a service covers more samples than that of one upstream.
 	s.latency = ewma(s.latency, seconds)
--- a/internal/dsr/state.go
+++ b/internal/dsr/state.go
@@ -61,7 +61,8 @@
 	Busy      int    `json:"busy"`
 	Flows     int    `json:"flows"`
 	// Share is the part of the upstream that this host is responsible for.
-	Share float64 `json:"share"`
+	Share     float64 `json:"share"`
+	LatencyMs float64 `json:"latency_ms"`
 	// ColdMs is how long the upstream stays cold, ColdOwned is set if this host opens its flows meanwhile.
 	ColdMs    int64 `json:"cold_ms,omitempty"`
 	ColdOwned bool  `json:"cold_owned,omitempty"`
@@ -129,7 +130,7 @@
 	s := UpstreamState{
 		Key: u.Key, Service: u.Service, Zone: u.Zone, To: u.Addr.String(), Token: u.token, Era: uint64(u.Era), Revision: uint64(u.Revision),
 		Status: u.status(), Suspicion: u.suspicion(now), Opening: u.opening, Busy: u.busy, Flows: u.flows,
-		Share: u.share, LastAnswerAgeMs: -1,
+		Share: u.share, LatencyMs: u.latency * 1000, LastAnswerAgeMs: -1,
 		LearnedLimit: u.learnedLimit(now), LearnedWorkMs: u.learnedWork(now).Seconds() * 1000,
 		Judgement: u.judgement(now).name(),
 	}
--- a/internal/dsr/upstreams.go
+++ b/internal/dsr/upstreams.go
@@ -23,8 +23,12 @@
 	// backoffMin and backoffMax bound how long an upstream or zone is avoided after a failure.
 	backoffMin = 500 * time.Millisecond
 	backoffMax = 4 * time.Second
-	// latencyWeight is the weight of a new sample in the mean latency of a service.
+	// latencyWeight is the weight of a new sample in a mean latency.
 	latencyWeight = 0.2
+	// latencyHalfLife is the time in which the excess of an upstream's mean latency over that of
+	// its service loses half of its weight. Samples older than maxLatencyHalfLives of it are ignored.
+	latencyHalfLife     = 2 * time.Second
+	maxLatencyHalfLives = 8
 )
 
 // upstream is one incarnation of an upstream.
@@ -73,7 +77,10 @@
 	// checkID is the check that is wanted or under way; zero is none. The next one may begin at nextCheckAt.
 	checkID     uint64
 	nextCheckAt time.Duration
-	pacer       loadcontrol.Pacer
+	// latency is the mean time from request to answer, in seconds; zero is unknown.
+	latency   float64
+	latencyAt time.Duration
+	pacer     loadcontrol.Pacer
 	// learned is what the answers to this host say of the capacity of the upstream; nil without samples. judged is the
 	// last judgement that was logged.
 	learned      *capacity.Estimate
@@ -190,6 +197,31 @@
 	return u.backoff.delay != 0 && u.opening > 0 || u.zone.backoff.delay != 0 && u.zone.opening > 0
 }
 
+// slowdown returns how many times slower than its service the upstream is, at least 1. It is used where requests
+// queue at upstreams: the time to an answer includes the queue there, which new flows are to avoid as well.
+func (u *upstream) slowdown(now time.Duration, s *service) float64 {
+	f := u.slowStart(now)
+	if u.latency == 0 || s.latency == 0 {
+		return f
+	}
+	age := float64(now-u.latencyAt) / float64(latencyHalfLife)
+	ratio := u.latency / s.latency
+	if age < maxLatencyHalfLives && ratio > 1 {
+		f = max(f, 1+(ratio-1)*decay(age))
+	}
+	return f
+}
+
+// decay approximates 0.5 to the power of x, which must not be negative, by linear pieces.
+func decay(x float64) float64 {
+	f := 1.0
+	for x >= 1 {
+		f /= 2
+		x--
+	}
+	return f * (1 - x/2)
+}
+
 // onAnswer records the answer to a packet that this host sent at the given time. Upstreams answer
 // callers directly, so the answer to an older packet does not show that packets from this host
 // still arrive.
