--- a/internal/dsrhost/feed.go
+++ b/internal/dsrhost/feed.go
@@ -42,13 +42,12 @@
 	// promptWait is how long the first watch waits for a write when the host begins to read the store with a
 	// directory that came from another host. Hosts that follow this one learn by its answer that the store answers.
 	promptWait = 100 * time.Millisecond
-	// startupSnapshotWait is how long a host that starts waits for the directory of another host before it
-	// reads the store: a hello to a contact, and the directory from a host that has it. Where all
-	// hosts start at once, it waits for the answers of three hosts.
+	// startupSnapshotWait is how long a host that starts waits for the directory of another host, once one
+	// said that it has it, before it reads the store.
 	startupSnapshotWait = 100 * time.Millisecond
-	// startupPeerWait is how long a host that starts waits for other hosts to tell what the
-	// store lost, before it serves what it read: six round trips of 4 ms. Where all hosts start
-	// at once, each of them waits in vain.
+	// startupPeerWait is how long a host that starts waits for other hosts to tell whether they have the directory and
+	// what the store lost, before it reads the store and serves what it read: six round trips of 4 ms. Where all hosts
+	// start at once, each of them waits in vain: with 100 ms, callers that had waited came back to fewer hosts.
 	startupPeerWait = 25 * time.Millisecond
 )
 
@@ -117,7 +116,9 @@
 	greeted <-chan struct{}
 	// hasSource reports whether a host that answered a hello has a recent directory. awaitsSnapshot is set while
 	// this host, at its start, waits for it, and peerUpdated is signalled with each update of another host.
-	hasSource      func() bool
+	hasSource func() bool
+	// greetingEndsAt is when this host stops waiting for greeted.
+	greetingEndsAt time.Time
 	awaitsSnapshot atomic.Bool
 	peerUpdated    chan struct{}
 	// fullReadPending is set when a full read is due, verifyPending when the directory came from another host at the
@@ -237,15 +238,11 @@
 	}
 	f.awaitsSnapshot.Store(true)
 	defer f.awaitsSnapshot.Store(false)
-	timer := time.NewTimer(startupSnapshotWait)
+	began := time.Now()
+	f.greetingEndsAt = began.Add(startupPeerWait)
+	f.awaitGreeting(ctx)
+	timer := time.NewTimer(time.Until(began.Add(startupSnapshotWait)))
 	defer timer.Stop()
-	select {
-	case <-f.greeted:
-	case <-timer.C:
-		return
-	case <-ctx.Done():
-		return
-	}
 	for f.hasSource() && f.replica.Position().IsZero() {
 		select {
 		case <-f.peerUpdated:
--- a/internal/dsrhost/feed_test.go
+++ b/internal/dsrhost/feed_test.go
@@ -428,3 +428,13 @@
 	require.Equal(t, feedChange, (<-events).kind)
 	require.Less(t, time.Since(began), startupSnapshotWait)
 }
+
+// Guards against a host that serves late because the hosts that it greets are gone and don't answer.
+func TestFeedReadsStoreIfNoHostAnswers(t *testing.T) {
+	f, events := newFeed(&scriptedStore{pages: []store.Page{{At: 20, Entries: []store.Entry{entry("up/a", "orders", 5)}}}})
+	f.greeted, f.hasSource, f.peerUpdated = make(chan struct{}), func() bool { return false }, make(chan struct{}, 1)
+	began := time.Now()
+	runUntilEnd(t, f.run)
+	require.Equal(t, feedChange, (<-events).kind)
+	require.Less(t, time.Since(began), startupSnapshotWait)
+}
--- a/internal/dsrhost/fullread.go
+++ b/internal/dsrhost/fullread.go
@@ -86,9 +86,9 @@
 	f.announceConfirmation(ctx)
 }
 
-// awaitGreeting waits until greeted is closed, at most startupPeerWait.
+// awaitGreeting waits until greeted is closed, at most until startupPeerWait after the start.
 func (f *feed) awaitGreeting(ctx context.Context) {
-	timer := time.NewTimer(startupPeerWait)
+	timer := time.NewTimer(time.Until(f.greetingEndsAt))
 	defer timer.Stop()
 	select {
 	case <-f.greeted:
