--- a/internal/dsr/evacuation.go
+++ b/internal/dsr/evacuation.go
@@ -178,7 +178,7 @@
 		c.emitOpening("flow not opened", now, p, r, ch, ReasonEvacuated)
 		return Effect{Action: Drop, Reason: ReasonEvacuated}, true
 	}
-	c.emitOpening("flow refused", now, p, r, ch, ReasonEvacuated)
+	c.emitOpening(eventRefused, now, p, r, ch, ReasonEvacuated)
 	return Effect{Action: Reset, Reason: ReasonEvacuated}, true
 }
 
--- a/internal/dsr/opening.go
+++ b/internal/dsr/opening.go
@@ -83,7 +83,7 @@
 	if ch.reason == ReasonPaced && !scheduled && p.SYNRetransmits == 0 && f == nil {
 		if c.overloaded(now, ch.state, ch.class) {
 			ch.state.refused(now, ch.class)
-			c.emitOpening("flow refused", now, p, r, ch, ReasonOverloaded)
+			c.emitOpening(eventRefused, now, p, r, ch, ReasonOverloaded)
 			return Effect{Action: Reset, Reason: ReasonOverloaded}
 		}
 		c.waiters.add(now, flowKey{p.Caller, p.Service}, ch.state, ch.class)
--- a/internal/dsr/servewaiting.go
+++ b/internal/dsr/servewaiting.go
@@ -147,11 +147,10 @@
 func (c *Core) rejectLate(now time.Duration, s *service) {
 	borrows := !c.hasOwn(now, s)
 	for _, urgent := range []bool{false, true} {
-		if !c.overloaded(now, s, loadcontrol.Class{Urgent: urgent && !borrows}) {
-			continue
-		}
+		class := loadcontrol.Class{Urgent: urgent && !borrows}
 		next := c.waiting.rejectable[classIndex(urgent)].First()
-		for w, seen := next, 0; w != nil && seen < lateSearchSize; w, seen = next, seen+1 {
+		// Each rejection lowers the demand and the number of those that wait.
+		for w, seen := next, 0; w != nil && seen < lateSearchSize && c.overloaded(now, s, class); w, seen = next, seen+1 {
 			next = w.links.Next()
 			if w.service != s {
 				continue
--- a/internal/dsr/waiting.go
+++ b/internal/dsr/waiting.go
@@ -31,6 +31,11 @@
 	// waitingInterval is how often the core is called while requests wait: for limits below one request,
 	// deadlines, and upstreams that stop answering.
 	waitingInterval = 5 * time.Millisecond
+	// eventRefused and eventNotServed are the messages of log lines.
+	eventRefused   = "flow refused"
+	eventNotServed = "request not served"
+	// causeNoSpace is the cause of a refusal, or of the end of a wait, because of the bounds on all that waits.
+	causeNoSpace = "too much waits"
 )
 
 // HoldID identifies a packet that waits at the host.
@@ -199,11 +204,7 @@
 // hold makes a request wait, whose first packet is given.
 func (c *Core) hold(now time.Duration, w *waitingRequest, p *Packet, reason Reason) Effect {
 	if !c.makeSpace(now, w, p) {
-		c.recycle(w)
-		if w.entry.Rejectable {
-			return Effect{Action: Reset, Reason: ReasonOverloaded}
-		}
-		return Effect{Action: Drop, Reason: ReasonWaitEnded}
+		return c.declineWait(now, w)
 	}
 	var line *schedule.Line[*waitingRequest]
 	if w.upstream != nil {
@@ -238,11 +239,38 @@
 		if lowest == nil || lowest.entry.Priority < w.entry.Priority {
 			return false
 		}
-		c.endWait(now, lowest, lowest.entry.Rejectable, "too much waits")
+		c.endWait(now, lowest, lowest.entry.Rejectable && c.takesSpace(now, lowest), causeNoSpace)
 	}
 	return true
 }
 
+// takesSpace reports whether the service of a request is why there is no space: it is overloaded, or most of
+// what waits is its own, which needs no known work. The callers of other services are not told that they are refused.
+func (c *Core) takesSpace(now time.Duration, w *waitingRequest) bool {
+	return c.overloaded(now, w.service, w.class) || w.service.queue.Len() > maxWaiting/2
+}
+
+// declineWait returns the effect of a request for which there is no space.
+func (c *Core) declineWait(now time.Duration, w *waitingRequest) Effect {
+	e, event := Effect{Action: Drop, Reason: ReasonWaitEnded}, eventNotServed
+	if w.entry.Rejectable && c.takesSpace(now, w) {
+		e, event = Effect{Action: Reset, Reason: ReasonOverloaded}, eventRefused
+		w.service.refused(now, w.class)
+	}
+	c.emit(c.waitRecord(now, w, event, e.Action, causeNoSpace))
+	c.recycle(w)
+	return e
+}
+
+// waitRecord returns the record of a request that waited, or would have to, and is not served.
+func (c *Core) waitRecord(now time.Duration, w *waitingRequest, event string, a Action, cause string) Record {
+	s := w.service
+	return Record{
+		Event: event, Action: a, Caller: w.key.caller, Address: w.key.service, Service: s.name, Detail: cause, Version: c.version, Rank: w.rank,
+		Waiting: s.waiting + s.queue.Len(), Waited: now - w.since, Demand: s.demand.Rate(now), Slots: c.answeringSlots(now, s), Work: s.work.Mean(),
+	}
+}
+
 func (c *Core) keepPacket(w *waitingRequest, p *Packet, reason Reason) Effect {
 	c.waiting.last++
 	w.packets = append(w.packets, waitingPacket{c.waiting.last, *p})
@@ -286,14 +314,11 @@
 func (c *Core) endWait(now time.Duration, w *waitingRequest, rejected bool, cause string) {
 	s := w.service
 	rejected = rejected && !w.lacksCopies(now)
-	e, event := Effect{Action: Drop, Reason: ReasonWaitEnded}, "request not served"
+	e, event := Effect{Action: Drop, Reason: ReasonWaitEnded}, eventNotServed
 	if rejected {
-		e, event = Effect{Action: Reset, Reason: ReasonOverloaded}, "flow refused"
+		e, event = Effect{Action: Reset, Reason: ReasonOverloaded}, eventRefused
 	}
-	c.emit(Record{
-		Event: event, Action: e.Action, Caller: w.key.caller, Address: w.key.service, Service: s.name, Detail: cause, Version: c.version,
-		Rank: w.rank, Waiting: s.queue.Len(), Waited: now - w.since, Demand: s.demand.Rate(now), Slots: c.answeringSlots(now, s), Work: s.work.Mean(),
-	})
+	c.emit(c.waitRecord(now, w, event, e.Action, cause))
 	if rejected {
 		s.rejected(now, w.class)
 	}
@@ -339,7 +364,7 @@
 	a, rejected := c.outlook(now, p, r, ch)
 	if rejected {
 		s.refused(now, ch.class)
-		c.emitOpening("flow refused", now, p, r, ch, ReasonOverloaded)
+		c.emitOpening(eventRefused, now, p, r, ch, ReasonOverloaded)
 		return Effect{Action: Reset, Reason: ReasonOverloaded}
 	}
 	w := c.newWaiting(now, p, s, r, nil)
--- a/internal/dsr/waiting_test.go
+++ b/internal/dsr/waiting_test.go
@@ -213,6 +213,54 @@
 	require.Equal(t, Drop, released[0].Effect.Action)
 }
 
+// Guards against refusals beyond the excess: each refusal takes its request off the demand and the queue, so the overload
+// is to be judged anew before each.
+func TestLateSYNsAreRejectedOnlyWhileOverloadLasts(t *testing.T) {
+	f := schedulingFixture(t)
+	_, first := f.fill(streamPort)
+	s := f.core.services["orders"]
+	waits := []*caller{first}
+	for range 8 {
+		c := f.caller(streamPort)
+		require.Equal(t, Hold, c.sendSYN().Action)
+		waits = append(waits, c)
+	}
+	f.advance(200 * time.Millisecond)
+	for _, c := range waits {
+		require.Equal(t, Drop, c.retransmitSYN(1).Action)
+	}
+	f.advance(300 * time.Millisecond)
+	s.setWork(200 * time.Millisecond)
+	for !f.core.overloaded(f.now, s, loadcontrol.Class{}) {
+		s.asked(f.now, loadcontrol.Class{})
+	}
+	f.core.TakeRecords()
+	f.core.rejectLate(f.now, s)
+	refused := 0
+	for _, r := range f.core.TakeRecords() {
+		if r.Event != "flow refused" {
+			continue
+		}
+		refused++
+		require.GreaterOrEqual(t, (r.Demand+float64(r.Waiting))*r.Work.Seconds(), r.Slots)
+	}
+	require.Positive(t, refused)
+	require.Positive(t, s.queue.Len(), "the rest fits the slots")
+}
+
+// A flood of one service must not refuse the callers of another one, whose slots are free.
+func TestFloodOfOtherServiceRefusesNobody(t *testing.T) {
+	f := schedulingFixture(t)
+	_, waits := f.fill(streamPort)
+	require.False(t, f.core.overloaded(f.now, f.core.services["orders"], loadcontrol.Class{}))
+	f.core.waiting.bytes = maxWaitingBytes
+	require.NotEqual(t, Reset, f.caller(streamPort).sendSYN().Action)
+	for _, r := range f.core.TakeReleases() {
+		require.Equal(t, waits.last.Hold, r.Hold)
+		require.NotEqual(t, Reset, r.Effect.Action)
+	}
+}
+
 // Guards against less urgent requests that take the slots of urgent ones.
 func TestUrgentRequestLeavesFirst(t *testing.T) {
 	f := schedulingFixture(t)
