dsrpeer: some announcements go to the next places of the ring

The choice of hosts is one function, which the test uses too. Names say announcement and steady state.

--- a/internal/dsr/cold.go
+++ b/internal/dsr/cold.go
@@ -177,7 +177,7 @@
 	case u.Zone != c.zone:
 		rec.Detail = "its zone opens its flows"
 	case c.cold.owners.Owner(u.rank, &u.cold.owner) == z.Self:
-		rec.Detail, rec.Considered, rec.Open = "hosts of the zone may disagree", z.Known, z.Heard
+		rec.Detail, rec.Considered, rec.Open = "hosts of the zone may disagree", z.Known, z.Seen
 	}
 	c.emit(rec)
 }
--- a/internal/dsr/cold_test.go
+++ b/internal/dsr/cold_test.go
@@ -80,7 +80,7 @@
 			f.evacuate(directory.EvacuationEnded, "a")
 		}, paced},
 		{"another host opens its flows", func(f *fixture) {
-			f.core.SetZoneHosts(f.now, loadcontrol.ZoneHosts{Self: 1, Hosts: []uint64{2}, Known: 1, Heard: 1})
+			f.core.SetZoneHosts(f.now, loadcontrol.ZoneHosts{Self: 1, Hosts: []uint64{2}, Known: 1, Seen: 1})
 			start("a")(f)
 		}, none},
 		{"without the settings", func(f *fixture) { f.core.cold.bound = nil; start("a")(f) }, warm},
@@ -131,7 +131,7 @@
 	c := f.caller(streamPort)
 	c.sendSYN()
 	u := f.upstream(c)
-	f.core.SetZoneHosts(f.now, loadcontrol.ZoneHosts{Self: 1, Hosts: []uint64{2}, Known: 1, Heard: 1})
+	f.core.SetZoneHosts(f.now, loadcontrol.ZoneHosts{Self: 1, Hosts: []uint64{2}, Known: 1, Seen: 1})
 	f.core.extendCold(f.now, u, time.Minute)
 	require.Equal(t, ReasonCold, c.retransmitSYN(1).Reason)
 	f.advance(600 * time.Millisecond)
--- a/internal/dsrpeer/coldowners_test.go
+++ b/internal/dsrpeer/coldowners_test.go
@@ -79,7 +79,7 @@
 					h.side, h.stalled = 0, false
 				}
 			}
-			if !calm && now > healAt+heardWithin+knownToZoneAfter && rng.IntN(20) == 0 {
+			if !calm && now > healAt+seenWithin+knownToZoneAfter && rng.IntN(20) == 0 {
 				healAt = now + time.Duration(rng.IntN(180))*time.Second
 				cut := rng.IntN(2) == 0
 				for _, h := range hosts {
--- a/internal/dsrpeer/fleet_test.go
+++ b/internal/dsrpeer/fleet_test.go
@@ -266,8 +266,8 @@
 	for _, fleet := range fleets {
 		awaitTree(t, fleet, 3)
 	}
-	// The last news are over, also of hosts that heard of them late.
-	time.Sleep(2 * newsHellos * newsInterval)
+	// By then no host announces another one.
+	time.Sleep(2 * announceHellos * announceInterval)
 	var tasks sync.WaitGroup
 	for i := range fleets {
 		tasks.Go(func() { cost[i] = measure(fleets[i], 10*time.Second) })
--- a/internal/dsrpeer/follow.go
+++ b/internal/dsrpeer/follow.go
@@ -17,7 +17,7 @@
 )
 
 // SendHellos sends hellos to other hosts until the context ends, so that the hosts of a zone know each
-// other: to random hosts of the zone, often while there is news; to contacts at the start, seldom
+// other: to random hosts of the zone, often while hosts are announced; to contacts at the start, seldom
 // afterwards, and while no host of the zone is known.
 func (p *Peer) SendHellos(ctx context.Context) {
 	p.greet(ctx)
@@ -26,19 +26,21 @@
 	var pace helloPace
 	for ctx.Err() == nil {
 		interval := pace.next(p.peers.addedHosts(), p.peers.position(p.settings.Now()).Count > 1)
-		if !p.helloAny(ctx, pace.calm()) {
+		if !p.helloAny(ctx, &pace) {
 			interval = helloRetry
 		}
-		p.awaitNews(ctx, jitter(interval), pace.calm())
+		p.awaitMember(ctx, jitter(interval), pace.steady())
 	}
 }
 
 // helloPace decides about the time between hellos.
 type helloPace struct {
-	// added is the number of hosts of the zone that were added so far, and news the number of hellos that are
+	// added is the number of hosts of the zone that were added so far, and announcements the number of hellos that are
 	// still to be sent because of the last of them.
-	added uint64
-	news  int
+	added         uint64
+	announcements int
+	// steadyHellos is the number of hellos without an announcement.
+	steadyHellos int
 	// alone is the last interval of a host that knew no other one of its zone.
 	alone time.Duration
 }
@@ -46,39 +48,57 @@
 // next returns the time from the next hello to the one after it. Its arguments are the number of
 // hosts of the zone that were added since the start and whether any is known now.
 func (p *helloPace) next(added uint64, known bool) time.Duration {
-	p.news = max(p.news-1, 0)
+	p.announcements = max(p.announcements-1, 0)
 	if added != p.added {
-		p.added, p.news = added, newsHellos
+		p.added, p.announcements = added, announceHellos
+	}
+	if p.announcements == 0 {
+		p.steadyHellos++
 	}
 	switch {
 	case !known:
 		p.alone = min(max(2*p.alone, helloMinInterval), helloMaxInterval)
 		return p.alone
-	case p.news > 0:
+	case p.announcements > 0:
 		p.alone = 0
-		return newsInterval
+		return announceInterval
 	default:
-		return calmInterval
+		return steadyInterval
 	}
 }
 
-// calm reports whether there is no news.
-func (p *helloPace) calm() bool { return p.news == 0 }
+// steady reports whether no host is announced.
+func (p *helloPace) steady() bool { return p.announcements == 0 }
 
-// awaitNews waits for a duration, and no longer than newsInterval after the host learned of another
-// one of its zone while there was no news.
-func (p *Peer) awaitNews(ctx context.Context, d time.Duration, calm bool) {
+// targets returns the hosts of the zone that the next hello is sent to, until one answers. Announcements go to random
+// hosts, and some of them to the next places of the ring, so that each host gets some; ages reach each host the same
+// number of times.
+func (p *helloPace) targets(now time.Duration, t *peerTable) []netip.AddrPort {
+	hosts := t.randomZoneHosts(now, helloTries)
+	switch {
+	case p.steady():
+		return append(t.distantZoneHost(now, p.steadyHellos), hosts...)
+	case p.announcements%ringDivisor == 0:
+		return append(t.distantZoneHost(now, p.announcements/ringDivisor-1), hosts...)
+	default:
+		return hosts
+	}
+}
+
+// awaitMember waits for a duration, and no longer than announceInterval after the host learned of another
+// one of its zone in a steady state.
+func (p *Peer) awaitMember(ctx context.Context, d time.Duration, steady bool) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
-	news := p.peers.news
-	if !calm {
-		news = nil
+	added := p.peers.memberAdded
+	if !steady {
+		added = nil
 	}
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
-	case <-news:
-		sleep(ctx, min(jitter(newsInterval), d))
+	case <-added:
+		sleep(ctx, min(jitter(announceInterval), d))
 	}
 }
 
@@ -209,16 +229,11 @@
 	return n.ReadsStore && n.StoreAgeMs >= 0 && age(n.StoreAgeMs) <= maxReaderStoreAge
 }
 
-// helloAny sends hellos until a host answers, with the ages of known hosts if requested. It reports false
+// helloAny sends hellos until a host answers, in a steady state with the ages of known hosts. It reports false
 // if hosts are known but none answered.
-func (p *Peer) helloAny(ctx context.Context, ages bool) bool {
+func (p *Peer) helloAny(ctx context.Context, pace *helloPace) bool {
 	now := p.settings.Now()
-	hosts := p.peers.randomZoneHosts(now, helloTries)
-	if ages {
-		// News reach random hosts, ages the same number of times each host.
-		p.calmHellos++
-		hosts = append(p.peers.distantZoneHost(now, p.calmHellos), hosts...)
-	}
+	hosts := pace.targets(now, p.peers)
 	if order := p.peers.helloOrder(now); len(hosts) == 0 {
 		hosts = order
 	} else if now-p.contactedAt >= p.contactInterval(now) {
@@ -226,7 +241,7 @@
 		p.contactedAt, p.contactFactor = now, rand.Float64()
 	}
 	for _, host := range hosts {
-		if n, err := p.hello(ctx, host, ages); err == nil {
+		if n, err := p.hello(ctx, host, pace.steady()); err == nil {
 			p.answeredHellos.Add(1)
 			p.fetchLost(ctx, host, n)
 			return true
--- a/internal/dsrpeer/members.go
+++ b/internal/dsrpeer/members.go
@@ -14,7 +14,7 @@
 // Hosts of a zone reconcile the sets of hosts that they know with three messages: the hello
 // summarizes the sender's set, the answer names the hosts in which the receiver's set differs and
 // summarizes it, and a last message names what the receiver lacks. Where the sets agree, the times
-// at which hosts were last heard of are exchanged without their names.
+// at which hosts were last seen are exchanged without their names.
 
 const (
 	// memberBuckets is the number of parts of the hosts of a zone that are compared: with 814 hosts
@@ -38,7 +38,7 @@
 	_ struct{} `cbor:",toarray"`
 	// Digest is a digest of the addresses.
 	Digest uint32
-	// Ages holds the time since each host was last heard of, in units of ageUnit and in the order of the
+	// Ages holds the time since each host was last seen, in units of ageUnit and in the order of the
 	// ranks; empty if only the digests are to be compared.
 	Ages []byte
 }
@@ -48,7 +48,7 @@
 	_ struct{} `cbor:",toarray"`
 	// Address is the binary form of the control address.
 	Address []byte
-	// Age is the time since the host was last heard of, in units of ageUnit.
+	// Age is the time since the host was last seen, in units of ageUnit.
 	Age uint8
 }
 
@@ -110,7 +110,7 @@
 	return uint32(h.Sum64())
 }
 
-// ageUnits returns the time since a host was last heard of, rounded up. The caller holds the lock.
+// ageUnits returns the time since a host was last seen, rounded up. The caller holds the lock.
 func (t *peerTable) ageUnits(now time.Duration, a netip.AddrPort) uint8 {
 	if a == t.self {
 		return 0
@@ -136,7 +136,7 @@
 	return out
 }
 
-// mergeSummary takes over the later of the times at which hosts were last heard of, where the summary of
+// mergeSummary takes over the later of the times at which hosts were last seen, where the summary of
 // another host is of the same hosts. It returns whether each part differs.
 func (t *peerTable) mergeSummary(now time.Duration, theirs []bucket) (differs [memberBuckets]bool) {
 	t.mu.Lock()
--- a/internal/dsrpeer/members_test.go
+++ b/internal/dsrpeer/members_test.go
@@ -26,7 +26,6 @@
 type gossipHost struct {
 	*peerTable
 	pace helloPace
-	calm int
 	// scheduled is the number of the next hello; one that was put off is not sent.
 	scheduled int
 	ended     bool
@@ -60,12 +59,7 @@
 		}
 		now := g.queue.Now()
 		interval := h.pace.next(h.addedHosts(), h.position(now).Count > 1)
-		hosts := h.randomZoneHosts(now, helloTries)
-		if h.pace.calm() {
-			h.calm++
-			hosts = append(h.distantZoneHost(now, h.calm), hosts...)
-		}
-		for _, a := range hosts {
+		for _, a := range h.pace.targets(now, h.peerTable) {
 			if other := g.hosts[a]; !other.ended && g.random.Float64() >= g.lossy {
 				g.hello(h, other)
 				break
@@ -80,18 +74,18 @@
 	now := g.queue.Now()
 	g.hellos++
 	addedB := b.addedHosts()
-	summary := a.summarize(now, a.pace.calm())
+	summary := a.summarize(now, a.pace.steady())
 	b.add(now, now, a.self, "a")
 	differsB := b.mergeSummary(now, summary)
 	named := b.nameDiffering(now, differsB, nil)
-	answer := b.summarize(now, a.pace.calm())
+	answer := b.summarize(now, a.pace.steady())
 	a.add(now, now, b.self, "a")
 	a.addZoneHosts(now, named)
 	push := a.nameDiffering(now, a.mergeSummary(now, answer), named)
 	b.addZoneHosts(now, push)
 	g.named += len(named) + len(push)
-	if b.addedHosts() != addedB && b.pace.calm() {
-		g.schedule(b, g.jitter(newsInterval))
+	if b.addedHosts() != addedB && b.pace.steady() {
+		g.schedule(b, g.jitter(announceInterval))
 	}
 }
 
@@ -104,8 +98,8 @@
 	for n := range hosts {
 		h := g.start(zoneAddress(n), all...)
 		// The hosts are long known.
-		h.pace.added, h.pace.news = h.addedHosts(), 0
-		g.schedule(h, time.Duration(g.random.Int64N(int64(calmInterval))))
+		h.pace.added, h.pace.announcements = h.addedHosts(), 0
+		g.schedule(h, time.Duration(g.random.Int64N(int64(steadyInterval))))
 	}
 	return g
 }
@@ -120,7 +114,7 @@
 	return count
 }
 
-// oldest returns the longest time since a host was heard of that still runs.
+// oldest returns the longest time since a running host was last seen.
 func (g *gossip) oldest() (oldest time.Duration) {
 	for _, h := range g.hosts {
 		for a, e := range h.hosts {
@@ -141,7 +135,7 @@
 	}{{11, 0}, {11, 0.2}, {33, 0}, {100, 0}, {100, 0.2}, {814, 0}} {
 		g := newGossip(c.hosts)
 		g.lossy = c.lossy
-		g.queue.RunUntil(calmInterval)
+		g.queue.RunUntil(steadyInterval)
 		hellos, named := g.hellos, g.named
 		newcomer := g.start(zoneAddress(c.hosts), zoneAddress(c.hosts/2))
 		g.queue.RunUntil(g.queue.Now() + KnownWithin)
@@ -155,7 +149,7 @@
 // knows its zone within KnownWithin.
 func TestRestartedHostKnowsItsZone(t *testing.T) {
 	g := newGossip(100)
-	g.queue.RunUntil(calmInterval)
+	g.queue.RunUntil(steadyInterval)
 	g.hosts[zoneAddress(7)].ended = true
 	g.queue.RunUntil(g.queue.Now() + time.Second)
 	again := g.start(zoneAddress(7), zoneAddress(50))
--- a/internal/dsrpeer/peer.go
+++ b/internal/dsrpeer/peer.go
@@ -49,13 +49,15 @@
 	helloMinInterval = 1500 * time.Millisecond
 	helloMaxInterval = 25 * time.Second
 	helloRetry       = 500 * time.Millisecond
-	// newsInterval is the time between the next newsHellos hellos of a host that learned of a host of its zone, to
-	// random hosts. The number of those that know it doubles with each interval: 2.5 s for 814. With ten
-	// hellos of each of them, a host stays without the news with a probability of e^-10.
-	newsInterval = 250 * time.Millisecond
-	newsHellos   = 10
-	// calmInterval is the time between hellos without news. They keep known hosts from expiring.
-	calmInterval = 4 * time.Second
+	// announceInterval is the time between the next announceHellos hellos of a host that learned of a host of its zone, to
+	// random hosts. The number of those that know it doubles with each interval: 2.5 s for 814. A random hello misses a
+	// host with a probability of 1/e, so all of them miss one of 814 now and then. Those with a number that
+	// ringDivisor divides go to the hosts 1, 2 and 4 places behind instead: each host gets them from three others.
+	announceInterval = 250 * time.Millisecond
+	announceHellos   = 10
+	ringDivisor      = 3
+	// steadyInterval is the time between hellos without an announcement. They keep known hosts from expiring.
+	steadyInterval = 4 * time.Second
 	// helloTries is the number of hosts that are tried for a hello, one after the other.
 	helloTries = 3
 	// startHellos is the number of hosts that a host greets when it starts.
@@ -63,8 +65,8 @@
 	// settledHellos is the number of answered hellos after which a host follows another one: its list
 	// of the zone's hosts then is nearly complete.
 	settledHellos = 4
-	// KnownWithin is the time from the start of a host until all hosts of its zone know it: newsInterval times
-	// newsHellos, the first hello to a contact, and a calmInterval for a host that all those missed.
+	// KnownWithin is the time from the start of a host until all hosts of its zone know it: 2.5 s in which the number of
+	// those that know it doubles with each announceInterval, 1.75 s until the last of them has announced it to its ring, and a margin.
 	KnownWithin = 5 * time.Second
 	// maxReaderStoreAge is the longest time since the last store answer of a host that
 	// reads the store for others, also through hosts in between: the sum of a watch, its timeout and a pause.
@@ -177,10 +179,9 @@
 	nextReaderAttempt time.Duration
 	failedParents     map[netip.AddrPort]time.Duration
 	// contactedAt is when SendHellos last sent a hello to a contact, contactFactor a random part of the time until the next
-	// one, calmHellos the number of hellos without news.
+	// one.
 	contactedAt   time.Duration
 	contactFactor float64
-	calmHellos    int
 	Stats         Stats
 
 	// mu guards encode and the cache of the last encoded update.
--- a/internal/dsrpeer/peertable.go
+++ b/internal/dsrpeer/peertable.go
@@ -18,7 +18,7 @@
 	// 814, which divide the zone's upstreams among themselves.
 	maxKnownPeers = 1024
 	// peerExpiry is the time without a sign of a host after which it is removed. The hosts of a zone hear of
-	// each other every few calmInterval. Where a host knows no other of its zone, a hello takes up to one
+	// each other every few steadyInterval. Where a host knows no other of its zone, a hello takes up to one
 	// helloMaxInterval to reach the zone's contact, and another one until a host asks that one.
 	peerExpiry = 3 * helloMaxInterval
 	// storeReadersPerZone is the number of hosts of a zone that read the store for
@@ -37,9 +37,9 @@
 	former map[netip.AddrPort]peerEntry
 	// sorted is the result of rankedZone; nil if hosts changed since.
 	sorted []ranked
-	// added counts the hosts of the zone that were added. news is signalled with each of them.
-	added uint64
-	news  chan struct{}
+	// added counts the hosts of the zone that were added. memberAdded is signalled with each of them.
+	added       uint64
+	memberAdded chan struct{}
 }
 
 // peerEntry is a known host.
@@ -50,7 +50,7 @@
 }
 
 func newPeerTable(self netip.AddrPort, zone string, contacts []netip.AddrPort) *peerTable {
-	return &peerTable{self: self, zone: zone, contacts: contacts, hosts: make(map[netip.AddrPort]peerEntry), former: make(map[netip.AddrPort]peerEntry), news: make(chan struct{}, 1)}
+	return &peerTable{self: self, zone: zone, contacts: contacts, hosts: make(map[netip.AddrPort]peerEntry), former: make(map[netip.AddrPort]peerEntry), memberAdded: make(chan struct{}, 1)}
 }
 
 // add adds a host that was seen at the given time, or updates it if it was seen earlier. Hosts last
@@ -76,7 +76,7 @@
 	if !ok && zone == t.zone {
 		t.added++
 		select {
-		case t.news <- struct{}{}:
+		case t.memberAdded <- struct{}{}:
 		default:
 		}
 	}
--- a/internal/dsrpeer/zonehosts.go
+++ b/internal/dsrpeer/zonehosts.go
@@ -9,16 +9,16 @@
 )
 
 const (
-	// heardWithin is the age up to which a host counts as heard of. A hello takes up to one
+	// seenWithin is the age up to which a host counts as seen. A hello takes up to one
 	// helloMaxInterval to reach the zone's contact, and another one until a host asks that one. The rest
 	// is for the hellos themselves.
-	heardWithin = 2*helloMaxInterval + helloMinInterval
+	seenWithin = 2*helloMaxInterval + helloMinInterval
 	// knownToZoneAfter is the time from the start of a host until all hosts of its zone know it and it
 	// knows them: as long, if the zone's contact has started with it.
-	knownToZoneAfter = heardWithin
+	knownToZoneAfter = seenWithin
 	// ownerExpiry is how long a host without a sign keeps its cold upstreams. When a zone is cut in two,
-	// the others may have heard of it heardWithin before, and it notices up to heardWithin later.
-	ownerExpiry = 2*heardWithin + 2*time.Second
+	// the others may have seen it seenWithin before, and it notices up to seenWithin later.
+	ownerExpiry = 2*seenWithin + 2*time.Second
 	// formerRetention is how long a host that expired still counts as one of the zone. A part of the zone
 	// that is cut off for as long counts as the whole zone then.
 	formerRetention = 10 * time.Minute
@@ -59,8 +59,8 @@
 			return
 		}
 		z.Known++
-		if now-e.lastSeen <= heardWithin {
-			z.Heard++
+		if now-e.lastSeen <= seenWithin {
+			z.Seen++
 		}
 		if now-e.lastSeen <= ownerExpiry {
 			z.Hosts = append(z.Hosts, rank(a))
--- a/internal/dsrpeer/zonehosts_test.go
+++ b/internal/dsrpeer/zonehosts_test.go
@@ -26,12 +26,12 @@
 		hosts, known, heard int
 	}{
 		{start, 3, 2, 2},
-		{start + heardWithin + 1, 3, 2, 0},
+		{start + seenWithin + 1, 3, 2, 0},
 		{start + ownerExpiry + 1, 1, 2, 0},
 		{start + formerRetention + 1, 1, 0, 0},
 	} {
 		z := table.zoneHosts(c.at)
-		require.Equal(t, []int{c.hosts, c.known, c.heard}, []int{len(z.Hosts), z.Known, z.Heard}, "%v", c.at-start)
+		require.Equal(t, []int{c.hosts, c.known, c.heard}, []int{len(z.Hosts), z.Known, z.Seen}, "%v", c.at-start)
 		require.Contains(t, z.Hosts, z.Self)
 	}
 }
--- a/internal/loadcontrol/coldpacer.go
+++ b/internal/loadcontrol/coldpacer.go
@@ -74,9 +74,9 @@
 	// All hosts identify a host in the same way.
 	Self  uint64
 	Hosts []uint64
-	// Known is the number of other hosts that were known lately, also of those that expired, and Heard
-	// the number of those that were heard of recently.
-	Known, Heard int
+	// Known is the number of other hosts that were known lately, also of those that expired, and Seen
+	// the number of those that were seen recently.
+	Known, Seen int
 	// NewcomerTime is how long after its start, or its return, a host may be unknown to others.
 	NewcomerTime time.Duration
 }
@@ -84,7 +84,7 @@
 // inMajority reports whether the host is not cut off from half of the others or more, which may have
 // replaced it.
 func (z *ZoneHosts) inMajority() bool {
-	return len(z.Hosts) > 0 && 2*(z.Heard+1) > z.Known+1
+	return len(z.Hosts) > 0 && 2*(z.Seen+1) > z.Known+1
 }
 
 // ColdOwners decides which host of a zone opens flows to a cold upstream: one for each, by rendezvous
--- a/internal/loadcontrol/coldpacer_test.go
+++ b/internal/loadcontrol/coldpacer_test.go
@@ -38,7 +38,7 @@
 func TestColdOwners(t *testing.T) {
 	const newcomerTime = 20 * time.Second
 	zone := func(known, heard int, hosts ...uint64) ZoneHosts {
-		return ZoneHosts{Hosts: hosts, Known: known, Heard: heard, NewcomerTime: newcomerTime}
+		return ZoneHosts{Hosts: hosts, Known: known, Seen: heard, NewcomerTime: newcomerTime}
 	}
 	// know sets the hosts each second, for the given time, and returns what the host owns then.
 	know := func(o *ColdOwners, self uint64, now, d time.Duration, z ZoneHosts) (keys []uint64) {
