--- a/internal/dsrhost/fullread.go
+++ b/internal/dsrhost/fullread.go
@@ -85,14 +85,3 @@
 	f.send(ctx, feedEvent{kind: feedChange, change: ch})
 	f.announceConfirmation(ctx)
 }
-
-// awaitGreeting waits until greeted is closed, at most until startupPeerWait after the start.
-func (f *feed) awaitGreeting(ctx context.Context) {
-	timer := time.NewTimer(time.Until(f.greetingEndsAt))
-	defer timer.Stop()
-	select {
-	case <-f.greeted:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
