--- a/internal/dsrhost/host.go
+++ b/internal/dsrhost/host.go
@@ -135,7 +135,7 @@
 		}
 		h.feed.delegated, h.feed.greeted, h.feed.hasSource = h.peer.Delegated, h.peer.Greeted(), h.peer.HasSource
 		h.stats.registerPeer(h.peer)
-		if s.Credits.IsValid() {
+		if s.HoldRequests && s.Credits.IsValid() {
 			if h.credits, err = dsrpeer.ListenCredits(h.peer, s.Credits, logging.ForComponent(h.deps.Logger, "credits")); err != nil {
 				return err
 			}
--- a/internal/dsrhost/settings.go
+++ b/internal/dsrhost/settings.go
@@ -27,7 +27,7 @@
 	Data    netip.AddrPort
 	Ready   netip.AddrPort
 	Control netip.AddrPort
-	// Credits is the address for requests for free slots between hosts; not used if it isn't valid.
+	// Credits is the address for requests for free slots between hosts; not used if it isn't valid or HoldRequests is not set.
 	Credits netip.AddrPort
 	// Metrics is the address of the metrics and the state of the host; not served if it isn't valid.
 	Metrics netip.AddrPort
--- a/internal/dsrpeer/peer.go
+++ b/internal/dsrpeer/peer.go
@@ -50,9 +50,9 @@
 	helloMaxInterval = 25 * time.Second
 	helloRetry       = 500 * time.Millisecond
 	// announceInterval is the time between the next announceHellos hellos of a host that learned of a host of its zone, to
-	// random hosts. The number of those that know it doubles with each interval: 2.5 s for 814. A random hello misses a
-	// host with a probability of 1/e, so all of them miss one of 814 now and then. Those with a number that
-	// ringDivisor divides go to the hosts 1, 2 and 4 places behind instead: each host gets them from three others.
+	// random hosts. The number of those that know it doubles with each interval: 2.5 s for 814. In an interval, a
+	// host gets no random hello with a probability of 1/e, and one of 814 got none at all now and then. Those with a
+	// number that ringDivisor divides go to the hosts 1, 2 and 4 places behind instead: each host gets them from three others.
 	announceInterval = 250 * time.Millisecond
 	announceHellos   = 10
 	ringDivisor      = 3
