--- a/internal/dsr/flows.go
+++ b/internal/dsr/flows.go
@@ -68,9 +68,9 @@
 	synRetransmits int
 	// spilled is set while the request is counted in the spilled ones of the service.
 	spilled bool
-	// waitedInVain is set if a request waited until its deadline. If its caller sends it again, it goes on
+	// waitTimedOut is set if a request waited until its deadline. If its caller sends it again, it goes on
 	// at once.
-	waitedInVain bool
+	waitTimedOut bool
 	// countedAsked is set if the next request is counted as demand already.
 	countedAsked bool
 	// expected is set from the handshake to the first request, which has its slot already.
--- a/internal/dsr/observe.go
+++ b/internal/dsr/observe.go
@@ -91,7 +91,7 @@
 			c.cache.setPhase(now, f, phaseIdle)
 		}
 		if f.phase == phaseBusy && !f.expected {
-			f.answered, f.waitedInVain = true, false
+			f.answered, f.waitTimedOut = true, false
 			c.addLatencySample(now, f, now-f.busyAt)
 			c.learnAnswer(now, f, p.Length > 0)
 			c.cache.setPhase(now, f, phaseIdle)
--- a/internal/dsr/waiting.go
+++ b/internal/dsr/waiting.go
@@ -134,7 +134,7 @@
 	s := u.service
 	// The first request of a flow takes the slot that was kept for it when the flow was opened.
 	isRequest := f.phase == phaseIdle && f.answered && !f.pending && int32(p.Seq+uint32(p.Length)-f.nextSeq) > 0
-	if !isRequest || !s.schedules() || u.gone || f.route == nil || f.waitedInVain {
+	if !isRequest || !s.schedules() || u.gone || f.route == nil || f.waitTimedOut {
 		return Effect{}, false
 	}
 	if u.line.Len() == 0 && c.hasRoomOnFlow(now, s, u) || u.stalled(now) {
@@ -328,7 +328,7 @@
 		c.release(w, i, e)
 	}
 	if f := c.cache.flows[w.key]; f != nil && w.upstream != nil {
-		f.waitedInVain = true
+		f.waitTimedOut = true
 	}
 	c.recycle(w)
 }
--- a/internal/dsrhost/startup.go
+++ b/internal/dsrhost/startup.go
@@ -11,7 +11,7 @@
 	startupSnapshotWait = 100 * time.Millisecond
 	// startupPeerWait is how long a host that starts waits for other hosts to tell whether they have the directory and
 	// what the store lost, before it reads the store and serves what it read: six round trips of 4 ms. Where all hosts
-	// start at once, each of them waits in vain: with 100 ms, callers that had waited came back to fewer hosts.
+	// start at once, nobody can tell: with 100 ms, callers that came back found fewer hosts that serve.
 	startupPeerWait = 25 * time.Millisecond
 )
 
--- a/internal/dsrpeer/follow.go
+++ b/internal/dsrpeer/follow.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// awaitSource waits for a duration, or until a host without a directory hears of one that has it.
+// awaitSource waits for a duration, or until a host without a directory learns of one that has it.
 func (p *Peer) awaitSource(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/loadcontrol/credit.go
+++ b/internal/loadcontrol/credit.go
@@ -8,7 +8,7 @@
 const (
 	// CreditTime is how long a lent slot may be used, counted from the request for it: one request after the other, some
 	// four of them at a work of 30 to 50 ms. A slot that the borrower does not need is missing at its own host for as
-	// long: with 500 ms, a small deployment lost more than it won.
+	// long: with 500 ms, a small deployment answered fewer requests in time.
 	CreditTime = 150 * time.Millisecond
 	// MaxCredits is the largest number of slots in an answer.
 	MaxCredits = 8
