--- a/review/world2/silent.go
+++ b/review/world2/silent.go
@@ -13,6 +13,7 @@
 	const (
 		stable = 4 * time.Second
 		apply  = 3 * time.Second
+		drain  = 3 * time.Second
 	)
 	w, err := newWorld(r, options{hosts: 2, contracts: smallContracts, bounds: smallBounds, proxied: true})
 	if err != nil {
@@ -98,6 +99,9 @@
 	time.Sleep(400 * time.Millisecond)
 	w.dropRoute("second")
 	confirmed := w.configure()
+	leaving := w.backends[0]
+	drained := leaving.drain()
+	r.rec.line("backend %s reports draining", leaving.key)
 
 	from := silentAt.Add(stable + 200*time.Millisecond)
 	if at := confirmed.Add(apply + 200*time.Millisecond); at.After(from) {
@@ -131,8 +135,12 @@
 			x.attempt, at.Sub(confirmed).Seconds(), at.Sub(silentAt).Seconds(), x.backend))
 	}
 	v.summary = fmt.Sprintf("%d requests sent on a dropped route from %.2f s after its confirmation on, %d of them run", len(sent), from.Sub(confirmed).Seconds(), len(v.breaches))
+	tooLate := r.rec.runsOf(func(x *run) bool {
+		return x.backend == leaving.key && x.taken.After(drained.Add(drain+200*time.Millisecond)) && x.taken.After(silentAt.Add(stable+200*time.Millisecond))
+	})
+	v.summary += fmt.Sprintf("; %d requests were opened at a draining backend later than allowed", len(tooLate))
 	if !last.IsZero() {
-		v.summary += fmt.Sprintf(", the last one sent %.2f s after", last.Sub(confirmed).Seconds())
+		v.summary += fmt.Sprintf("; the last one on the dropped route was sent %.2f s after the confirmation", last.Sub(confirmed).Seconds())
 	}
 	return v, nil
 }
--- a/review/world2/store.go
+++ b/review/world2/store.go
@@ -82,18 +82,6 @@
 	return time.Now()
 }
 
-func (s *store) remove(key string) time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, ok := s.items[key]; ok {
-		s.revision++
-		delete(s.items, key)
-		s.history = append(s.history, item{Key: key, Revision: s.revision, Removed: true})
-		s.notify()
-	}
-	return time.Now()
-}
-
 func (s *store) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
