--- a/review/world2/hold.go
+++ b/review/world2/hold.go
@@ -108,7 +108,7 @@
 	if r.trouble {
 		for i := 0; time.Now().Before(end.Add(-4 * time.Second)); i++ {
 			w.hosts[i%len(w.hosts)].signal(syscall.SIGTERM)
-			time.Sleep(4 * time.Second)
+			time.Sleep(3 * time.Second)
 		}
 	}
 	time.Sleep(time.Until(end))
--- a/review/world2/late.go
+++ b/review/world2/late.go
@@ -17,7 +17,7 @@
 		objective = 400
 		budget    = 4 * time.Second
 		work      = 52 * time.Millisecond
-		usual     = 227.0 // new users a second, of which each sends two requests; the slots can do 615
+		usual     = 235.0 // new users a second, of which each sends two requests; the slots can do 615
 		burst     = 1.7
 		burstTime = 3 * time.Second
 		calmTime  = 3 * time.Second
@@ -106,7 +106,7 @@
 	if r.trouble {
 		for i := 0; time.Now().Before(end.Add(-4 * time.Second)); i++ {
 			w.hosts[i%len(w.hosts)].signal(syscall.SIGTERM)
-			time.Sleep(4 * time.Second)
+			time.Sleep(3 * time.Second)
 		}
 	}
 	time.Sleep(time.Until(end))
