--- a/review/world2/freeze.go
+++ b/review/world2/freeze.go
@@ -19,7 +19,7 @@
 		pause     = 6500 * time.Millisecond
 		budget    = 2500 * time.Millisecond
 	)
-	w, err := newWorld(r, options{hosts: 3, contracts: smallContracts, bounds: smallBounds})
+	w, err := newWorld(r, options{hosts: 5, contracts: smallContracts, bounds: smallBounds})
 	if err != nil {
 		return v, err
 	}
