review: case 10, copies of SYNs go to the old service of a moved route

A host keeps the upstream of a SYN for its copies after the route has moved; a backend that was full takes the second copy and runs the request, though the host has opened flows by the newer version for more than rollbackSlackMs.

--- a/review/world2/main.go
+++ b/review/world2/main.go
@@ -27,6 +27,7 @@
 	"late":   lateOpenings,
 	"silent": silentConnections,
 	"freeze": frozenHost,
+	"moved":  movedRoute,
 }
 
 // caseRun is what a case needs.
