--- a/review/world2/backend.go
+++ b/review/world2/backend.go
@@ -56,9 +56,6 @@
 	endedAt time.Time
 	// forged counts packets that their sender did not write so.
 	forged int
-	// maxFlows is the number of flows that the backend holds, held those that it holds now; it sends nothing in answer to a
-	// SYN while it is full. Zero is no limit.
-	maxFlows, held, turnedAway int
 }
 
 type backendFlow struct {
@@ -66,7 +63,6 @@
 	// iss is the sequence number of the SYN+ACK, taken when the first SYN arrived.
 	iss   uint32
 	taken time.Time
-	seen  time.Time
 	// next is the next sequence number expected, sent the one after the last byte sent, acked what the client has.
 	next, sent, acked uint32
 	echo              uint32
@@ -175,7 +171,7 @@
 func (b *backend) read() {
 	buf := make([]byte, 2048)
 	for {
-		n, from, err := b.conn.ReadFromUDPAddrPort(buf)
+		n, _, err := b.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			return
 		}
@@ -191,7 +187,7 @@
 			b.forged++
 			b.rec.line("backend %s got a packet that its sender did not write so, from %s", b.key, p.src)
 		} else {
-			b.handle(&p, from.Addr())
+			b.handle(&p)
 		}
 		b.mu.Unlock()
 	}
@@ -204,63 +200,19 @@
 	return w
 }
 
-// limitFlows makes the backend hold so many flows at most. It discards those whose handshake is not completed within 2 s
-// or that were idle for longer than the limit.
-func (b *backend) limitFlows(most int, idle time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.maxFlows = most
-	go func() {
-		for {
-			select {
-			case <-time.After(time.Second):
-			case <-b.stopped:
-				return
-			}
-			b.mu.Lock()
-			for key, f := range b.flows {
-				if age := time.Since(f.seen); !f.ended && (age > idle || !f.open && age > 2*time.Second) {
-					b.endFlow(f)
-					delete(b.flows, key)
-				}
-			}
-			b.mu.Unlock()
-		}
-	}()
-}
-
-func (b *backend) endFlow(f *backendFlow) {
-	if !f.ended {
-		f.ended = true
-		b.held--
-	}
-}
-
-// handle handles a packet that came from a host.
-func (b *backend) handle(p *packet, via netip.Addr) {
+func (b *backend) handle(p *packet) {
 	key := [2]netip.AddrPort{p.src, p.dst}
 	f := b.flows[key]
-	if f != nil {
-		f.seen = time.Now()
-	}
 	if p.flags&flagSYN != 0 {
 		if p.flags&flagACK != 0 {
 			b.forged++
 			return
 		}
 		if f == nil || f.next != p.seq+1 && !f.open || f.ended {
-			if f != nil {
-				b.endFlow(f)
-			}
-			if b.maxFlows > 0 && b.held >= b.maxFlows {
-				b.turnedAway++
-				return
-			}
-			iss, now := rand.Uint32(), time.Now()
-			f = &backendFlow{iss: iss, taken: now, seen: now, next: p.seq + 1, sent: iss + 1, acked: iss + 1}
+			iss := rand.Uint32()
+			f = &backendFlow{iss: iss, taken: time.Now(), next: p.seq + 1, sent: iss + 1, acked: iss + 1}
 			b.flows[key] = f
-			b.held++
-			b.rec.openingTaken(b, p, via)
+			b.rec.openingTaken(b, p)
 		}
 		if !f.open {
 			f.echo = p.echo
@@ -277,7 +229,7 @@
 	}
 	f.echo = p.echo
 	if p.flags&flagRST != 0 {
-		b.endFlow(f)
+		f.ended = true
 		return
 	}
 	if !f.open {
@@ -298,7 +250,7 @@
 	}
 	if p.flags&flagFIN != 0 && p.seq == f.next {
 		f.next++
-		b.endFlow(f)
+		f.ended = true
 		b.send(packet{seq: f.sent, ack: f.next, src: p.dst, dst: p.src, echo: f.echo, flags: flagACK | flagFIN})
 		return
 	}
--- a/review/world2/client.go
+++ b/review/world2/client.go
@@ -101,9 +101,7 @@
 	echo     uint32
 	openedAt time.Time
 	sentAt   time.Time
-	// synSent holds when the SYN and its copies were sent.
-	synSent [3]time.Time
-	others  int
+	others   int
 }
 
 // newFlow returns a flow that is not opened yet.
@@ -160,7 +158,6 @@
 func (f *flow) opening() error {
 	f.sentAt = time.Now()
 	for i, after := range []time.Duration{200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond} {
-		f.synSent[i] = time.Now()
 		f.send(packet{seq: f.seq, ack: uint32(i), flags: flagSYN})
 		for {
 			p, err := f.receive(f.sentAt.Add(after))
--- a/review/world2/main.go
+++ b/review/world2/main.go
@@ -27,7 +27,6 @@
 	"late":   lateOpenings,
 	"silent": silentConnections,
 	"freeze": frozenHost,
-	"moved":  movedRoute,
 }
 
 // caseRun is what a case needs.
--- a/review/world2/record.go
+++ b/review/world2/record.go
@@ -20,17 +20,6 @@
 	strays []stray
 	// arrivals counts the packets of open flows by backend.
 	arrivals map[flowKey]map[string]int
-	taken    map[flowKey]opening
-}
-
-// opening is the opening packet that a backend took.
-type opening struct {
-	at      time.Time
-	backend string
-	service string
-	// copy is the number of the copy, zero for the first SYN, via the host that sent it on.
-	copy int
-	via  netip.Addr
 }
 
 type flowKey struct{ client, route netip.AddrPort }
@@ -52,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{started: time.Now(), file: f, opened: make(map[flowKey]flowOpening), arrivals: make(map[flowKey]map[string]int), taken: make(map[flowKey]opening)}, nil
+	return &record{started: time.Now(), file: f, opened: make(map[flowKey]flowOpening), arrivals: make(map[flowKey]map[string]int)}, nil
 }
 
 // line writes a line with the time since the start.
@@ -66,11 +55,8 @@
 	fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
-func (r *record) openingTaken(b *backend, p *packet, via netip.Addr) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.taken[flowKey{p.src, p.dst}] = opening{time.Now(), b.key, b.entry.Service, int(p.ack), via}
-	r.write("backend %s took the opening packet (copy %d) of %s to %s from %s", b.key, p.ack, p.src, p.dst, via)
+func (r *record) openingTaken(b *backend, p *packet) {
+	r.line("backend %s took the opening packet (copy %d) of %s to %s", b.key, p.ack, p.src, p.dst)
 }
 
 func (r *record) flowOpened(b *backend, p *packet) {
